Measure by the log's own time what a router that ended cannot have used

Cause: when a router started again, the log took back the part of its reserve that had no time to unlock, by the router's time of day alone.

Draws carry the time of the log that the router last heard and what its steady clock measured since; the log takes the longer of both estimates. Its own time goes on from the latest draw and is not set back with a member's clock. Wallets compare steady times only. Routers log what was written off with an earlier life, and a refusal for the budget says what was spent and lost.

Ruled out: a margin for skew on the router's clock alone, which would cost five of eight seconds of every reserve.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -97,7 +97,7 @@
 		settings: s,
 		pool:     pool,
 		box:      peer.NewOutboxWithin[quorum.Message](pool, peer.OpStep, sendLimit),
-		replica:  newReplica(),
+		replica:  newReplica(s.Clock),
 		life:     binary.LittleEndian.Uint64(b[:]) >> 11, // exact as a JSON number
 		roster:   roster.New(s.Quiet),
 		changed:  make(chan struct{}),
@@ -219,7 +219,7 @@
 		return Fetched{Revision: held.Revision, Document: held.Document}, nil
 	})
 	m[OpDraw] = peer.Handle(func(ctx context.Context, _ poplar.Daemon, d purse.Draw) (purse.Drawn, error) {
-		out, err := c.propose(ctx, command{Draw: &d})
+		out, err := c.propose(ctx, command{Draw: &d, At: c.replica.now()})
 		if err != nil || out.Drawn == nil {
 			return purse.Drawn{}, err
 		}
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"time"
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/voter"
@@ -16,6 +17,8 @@
 type command struct {
 	Put  *put        `json:"put,omitempty"`
 	Draw *purse.Draw `json:"draw,omitempty"`
+	// At is the time of the log at which a draw arrived, in milliseconds.
+	At int64 `json:"at,omitempty"`
 	// Look changes nothing. Its place in the log makes the answer linearizable.
 	Look bool `json:"look,omitempty"`
 }
@@ -57,6 +60,9 @@
 	Digest   string          `json:"digest,omitempty"`
 	Document []byte          `json:"text,omitempty"`
 	Book     *purse.Book     `json:"book"`
+	// Now is the latest time at which a draw arrived, in milliseconds. It only
+	// grows, whichever member takes the draws.
+	Now int64 `json:"now,omitempty"`
 }
 
 // replica is one copy of the state.
@@ -64,12 +70,25 @@
 	mu    sync.RWMutex
 	state image         // invariant: guarded by mu
 	news  chan struct{} // invariant: guarded by mu; closed at the next revision
+	// passed is when this member learned of state.Now; guarded by mu.
+	passed time.Time
+	clock  poplar.Clock
 }
 
 var _ voter.Applier = (*replica)(nil)
 
-func newReplica() *replica {
-	return &replica{state: image{Book: purse.NewBook()}, news: make(chan struct{})}
+func newReplica(clock poplar.Clock) *replica {
+	return &replica{state: image{Book: purse.NewBook()}, news: make(chan struct{}), clock: clock, passed: clock.Now()}
+}
+
+// now returns the time of the log, in milliseconds: that of the latest draw and
+// what has passed since, or the time of day if it is later. A time of day that is
+// set back does not hold it up, and it never falls behind what has passed.
+func (r *replica) now() int64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	t := r.clock.Now()
+	return max(t.UnixMilli(), r.state.Now+t.Sub(r.passed).Milliseconds())
 }
 
 // Apply implements voter.Applier.
@@ -86,7 +105,10 @@
 	case c.Put != nil:
 		out.Outcome = r.put(c.Put)
 	case c.Draw != nil:
-		drawn := r.state.Book.Draw(*c.Draw)
+		if c.At > r.state.Now {
+			r.state.Now, r.passed = c.At, r.clock.Now()
+		}
+		drawn := r.state.Book.Draw(*c.Draw, c.At)
 		out.Drawn = &drawn
 	}
 	out.Revision = r.state.Revision
@@ -143,7 +165,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.state = state
+	r.state, r.passed = state, r.clock.Now()
 	r.announce()
 	return nil
 }
--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -81,6 +81,9 @@
 		p.log.Info("draws succeed", "at", to)
 	}
 	p.wallet.Apply(d, answer, time.Now())
+	for name, tokens := range answer.Lost {
+		p.log.Warn("tokens written off", "workspace", string(name), "tokens", int64(tokens), "life", d.Holder.Life)
+	}
 	for name, s := range answer.Stands {
 		p.log.Debug("draw", "workspace", string(name), "issued", int64(s.Issued), "free", int64(s.Free),
 			"spent", int64(s.Spent), "remains", int64(s.Left), "grant", int64(s.Grant), "left", int64(p.wallet.Look(name, time.Now()).Ready))
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -158,7 +158,10 @@
 	}
 	if err := x.p.reserve(x.ctx, x.holder.Name, cost, x.until); err != nil {
 		if x.uncovered(cost) {
-			return poplar.Failf(poplar.StepReserve, poplar.CodeBudget, "the budget cannot cover %d tokens", cost).Ran(poplar.RunNo)
+			had := x.p.wallet.Look(x.holder.Name, time.Now())
+			return poplar.Failf(poplar.StepReserve, poplar.CodeBudget,
+				"the budget cannot cover %d tokens: of %d granted, %d were spent and %d lost with routers %s ago",
+				cost, had.Grant, had.Spent, had.Lost, had.Age.Round(time.Millisecond)).Ran(poplar.RunNo)
 		}
 		return err
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -322,7 +322,7 @@
 	fill := func() purse.Stand {
 		r.proxy.wallet.Reserve("poor", 200, time.Now()) // tells the need
 		d, _ := r.proxy.wallet.Draw(grants, time.Now())
-		answer := book.Draw(d)
+		answer := book.Draw(d, time.Now().UnixMilli())
 		r.proxy.wallet.Apply(d, answer, time.Now())
 		return answer.Stands["poor"]
 	}
--- a/pkg/purse/book.go
+++ b/pkg/purse/book.go
@@ -75,6 +75,12 @@
 	// milliseconds: its start, and the time from which the reserves count.
 	Started int64 `json:"start"`
 	Heard   int64 `json:"heard"`
+	// Up is the time since the start, and From the time of the log from which the
+	// reserves count, in milliseconds. Both are measured by a clock that is not
+	// set, so that a router whose time of day is wrong gets nothing back that it
+	// may have used.
+	Up   int64 `json:"up"`
+	From int64 `json:"from"`
 }
 
 // Stand is the state of one workspace after a draw.
@@ -101,6 +107,10 @@
 	Stands map[poplar.Workspace]Stand `json:"stands,omitempty"`
 	// Routers is the number of routers that hold an account.
 	Routers int `json:"routers"`
+	// At is the time of the log, in milliseconds, at which the draw arrived.
+	At int64 `json:"at"`
+	// Lost is, for the first draw of a life, what the life before took with it.
+	Lost map[poplar.Workspace]poplar.Tokens `json:"lost,omitempty"`
 }
 
 // Account is what a router holds of one workspace.
@@ -110,9 +120,10 @@
 	Spent    poplar.Tokens `json:"used,omitempty"`
 	// Held is what the router had at its last draw, with what that brought.
 	Held poplar.Tokens `json:"held,omitempty"`
-	// Reserve and Heard are those of the last draw that named the workspace.
+	// Reserve, Heard and From are those of the last draw that named the workspace.
 	Reserve poplar.Tokens `json:"reserve,omitempty"`
 	Heard   int64         `json:"heard,omitempty"`
+	From    int64         `json:"from,omitempty"`
 }
 
 // Router is what the log knows of one router.
@@ -179,18 +190,20 @@
 	}
 }
 
-// Draw takes a router's report and issues what its wants may get.
-func (b *Book) Draw(d Draw) Drawn {
+// Draw takes a router's report, which arrived at the given time of the log, and
+// issues what its wants may get.
+func (b *Book) Draw(d Draw, at int64) Drawn {
 	r := b.Routers[d.Holder.Name]
 	if r != nil && (d.Holder.Life < r.Life || (d.Holder.Life == r.Life && d.Number <= r.Number)) {
 		return Drawn{Stale: true, Life: r.Life}
 	}
+	out := Drawn{Stands: map[poplar.Workspace]Stand{}, At: at}
 	if r == nil || d.Holder.Life > r.Life {
-		b.begin(d)
+		out.Lost = b.begin(d, at)
 	}
+	out.Routers = len(b.Routers)
 	r = b.Routers[d.Holder.Name]
 	r.Number = d.Number
-	out := Drawn{Stands: map[poplar.Workspace]Stand{}, Routers: len(b.Routers)}
 	for _, name := range slices.Sorted(maps.Keys(d.Wants)) {
 		budget := b.Budgets[name]
 		if budget == nil {
@@ -202,22 +215,36 @@
 }
 
 // begin starts a life of a router. What the life before held is written off, but
-// for the part of its reserve that it had no time to use.
-func (b *Book) begin(d Draw) {
-	for _, budget := range b.Budgets {
-		budget.close(d.Holder.Name, d.Started)
+// for the part of its reserve that it had no time to use. It returns what is
+// lost beside what was reported as spent.
+func (b *Book) begin(d Draw, at int64) map[poplar.Workspace]poplar.Tokens {
+	lost := map[poplar.Workspace]poplar.Tokens{}
+	for name, budget := range b.Budgets {
+		a := budget.Accounts[d.Holder.Name]
+		if a == nil {
+			continue
+		}
+		intact := locked(a.Reserve, a.mostAge(d, at))
+		budget.Closed += a.Issued - a.Returned - intact
+		budget.Closing += a.Spent
+		delete(budget.Accounts, d.Holder.Name)
+		if gone := a.Held - intact; gone > 0 {
+			lost[name] = gone
+		}
 	}
 	b.Routers[d.Holder.Name] = &Router{Life: d.Holder.Life}
+	return lost
 }
 
-// close ends the account of a router that has ended.
-func (u *Budget) close(name poplar.Daemon, started int64) {
-	if a := u.Accounts[name]; a != nil {
-		intact := locked(a.Reserve, time.Duration(started-a.Heard)*time.Millisecond)
-		u.Closed += a.Issued - a.Returned - intact
-		u.Closing += a.Spent
-		delete(u.Accounts, name)
+// mostAge returns the longest time for which the reserve of a router that has
+// started again may have been unlocked: by the clock of the router, which may have
+// been set, and by that of the log.
+func (a *Account) mostAge(d Draw, at int64) time.Duration {
+	byRouter, byLog := d.Started-a.Heard, at-d.Up-a.From
+	if byRouter < 0 {
+		return UnlockTime
 	}
+	return time.Duration(max(byRouter, byLog)) * time.Millisecond
 }
 
 func (u *Budget) draw(d *Draw, w Want, routers int) Stand {
@@ -229,7 +256,7 @@
 	a.Returned = max(a.Returned, min(w.Returned, a.Issued))
 	a.Spent = max(a.Spent, w.Spent)
 	a.Reserve = min(max(w.Reserve, 0), a.Issued-a.Returned)
-	a.Heard = d.Heard
+	a.Heard, a.From = d.Heard, d.From
 	if w.Issued == a.Issued {
 		a.Issued += u.share(w, routers)
 	}
--- a/pkg/purse/purse_test.go
+++ b/pkg/purse/purse_test.go
@@ -34,6 +34,19 @@
 	grant   poplar.Tokens
 	late    []Draw // draws that are still on their way
 	open    []reservation
+	clocks  map[int]clock // of routers, by number
+}
+
+// clock is how far the time of day of a router is off.
+type clock struct {
+	offset, atStart time.Duration
+}
+
+// off returns a draw as a router sends it whose time of day is off.
+func (c clock) off(d Draw) Draw {
+	d.Heard += c.offset.Milliseconds()
+	d.Started += c.atStart.Milliseconds()
+	return d
 }
 
 // reservation is a request that is running.
@@ -47,6 +60,7 @@
 	holder := Holder{Name: poplar.Daemon(rune('a' + i)), Life: w.lives}
 	old := w.wallets[i]
 	w.wallets[i] = NewWallet(holder, DefaultPolicy(), w.now)
+	w.clocks[i] = clock{offset: w.clocks[i].offset, atStart: w.clocks[i].offset}
 	kept := w.open[:0]
 	for _, o := range w.open {
 		if o.wallet != old {
@@ -60,12 +74,12 @@
 func (w *world) draw(i, fate int) {
 	wallet := w.wallets[i]
 	d, _ := wallet.Draw(map[poplar.Workspace]Grant{space: {Tokens: w.grant, Bound: true}}, w.now)
-	d = copied(d)
+	d = w.clocks[i].off(copied(d))
 	switch fate {
 	case 0:
-		wallet.Apply(d, copied(w.book.Draw(d)), w.now)
+		wallet.Apply(d, copied(w.book.Draw(d, w.now.UnixMilli())), w.now)
 	case 1:
-		w.book.Draw(d)
+		w.book.Draw(d, w.now.UnixMilli())
 	case 2:
 		w.late = append(w.late, d)
 	}
@@ -96,11 +110,11 @@
 }
 
 // TestSpendStaysWithinTheGrant plays lost, doubled and late messages, loans,
-// kills within and after the time of a reserve, separations from the log, and
-// grants that rise.
+// kills within and after the time of a reserve, separations from the log,
+// grants that rise, and routers whose time of day is set forth and back.
 func TestSpendStaysWithinTheGrant(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &world{book: NewBook(), now: time.UnixMilli(1_000_000), grant: 10_000, wallets: make([]*Wallet, 3)}
+		w := &world{book: NewBook(), now: time.UnixMilli(1_000_000), grant: 10_000, wallets: make([]*Wallet, 3), clocks: map[int]clock{}}
 		w.book.Declare(map[poplar.Workspace]Grant{space: {Tokens: w.grant, Bound: true}})
 		for i := range w.wallets {
 			w.begin(i)
@@ -116,7 +130,7 @@
 				if len(w.late) == 0 {
 					t.Skip("none")
 				}
-				w.book.Draw(w.late[0])
+				w.book.Draw(w.late[0], w.now.UnixMilli())
 				w.late = w.late[1:]
 			},
 			"serve": func(t *rapid.T) {
@@ -133,6 +147,12 @@
 				w.spent -= o.tokens - used
 			},
 			"kill": func(t *rapid.T) { w.begin(router.Draw(t, "router")) },
+			"step": func(t *rapid.T) {
+				i := router.Draw(t, "router")
+				c := w.clocks[i]
+				c.offset = time.Duration(rapid.IntRange(-4000, 4000).Draw(t, "offset")) * time.Millisecond
+				w.clocks[i] = c
+			},
 			"lend": func(t *rapid.T) {
 				from, to := router.Draw(t, "from"), router.Draw(t, "to")
 				if from == to {
@@ -153,9 +173,9 @@
 					t.Skip("itself")
 				}
 				if rapid.Bool().Draw(t, "log") {
-					d := copied(w.wallets[from].Close(w.now))
+					d := w.clocks[from].off(copied(w.wallets[from].Close(w.now)))
 					if rapid.Bool().Draw(t, "arrives") {
-						w.book.Draw(d)
+						w.book.Draw(d, w.now.UnixMilli())
 					}
 				} else {
 					g := w.wallets[from].Give(w.now)
@@ -189,7 +209,7 @@
 }
 
 func newWorld(routers int, grant poplar.Tokens) *world {
-	w := &world{book: NewBook(), now: time.UnixMilli(1_000_000), grant: grant, wallets: make([]*Wallet, routers)}
+	w := &world{book: NewBook(), now: time.UnixMilli(1_000_000), grant: grant, wallets: make([]*Wallet, routers), clocks: map[int]clock{}}
 	w.book.Declare(map[poplar.Workspace]Grant{space: {Tokens: grant, Bound: true}})
 	for i := range w.wallets {
 		w.begin(i)
@@ -252,6 +272,36 @@
 	}
 }
 
+// TestClockSetBackBetweenTwoStarts uses all of a reserve while a router is cut off,
+// kills it, and sets its time of day back before it starts again: none of the
+// reserve may be issued a second time.
+func TestClockSetBackBetweenTwoStarts(t *testing.T) {
+	w := newWorld(2, 100_000)
+	for range 20 {
+		w.load(2, 1000)
+		w.tell()
+	}
+	w.now = w.now.Add(UnlockTime)
+	for w.serve(0, 100) {
+		continue
+	}
+	w.clocks[0] = clock{offset: -UnlockTime}
+	w.begin(0)
+	w.tell()
+	for range 100 {
+		w.serve(0, 100)
+		w.serve(1, 100)
+		w.now = w.now.Add(UnlockTime)
+		w.tell()
+	}
+	for i := range w.wallets {
+		for w.serve(i, 100) {
+			continue
+		}
+	}
+	assert.Assert(t, w.spent <= w.grant, "spent %d of %d", w.spent, w.grant)
+}
+
 // TestKillOfABusyRouterLosesLittle kills the router that carries the whole load,
 // and starts it again half a second later. Beside what its requests had reserved
 // it may lose what it uses in mostLost.
--- a/pkg/purse/wallet.go
+++ b/pkg/purse/wallet.go
@@ -66,7 +66,9 @@
 	mu       sync.Mutex
 	holder   Holder                       // invariant: guarded by mu
 	purse    map[poplar.Workspace]*pocket // invariant: guarded by mu
-	heard    int64                        // invariant: guarded by mu; Unix milliseconds of the last answer
+	heard    time.Time                    // invariant: guarded by mu; of the last answer, or the start
+	heardLog int64                        // invariant: guarded by mu; time of the log in the last answer
+	base     time.Time                    // invariant: guarded by mu; from which the reserves of the last draw count
 	number   uint64                       // invariant: guarded by mu; of the last draw
 	answered bool                         // invariant: guarded by mu; true when the last draw was answered
 	given    map[Holder]bool              // invariant: guarded by mu; routers whose gifts were taken
@@ -84,7 +86,7 @@
 	borrowedFrom                  map[Holder]poplar.Tokens // invariant: with gifts, sums up to borrowed
 	promised, pending             promise                  // invariant: cover what the log may believe to be untouched
 	stand                         Stand
-	stoodAt                       int64         // invariant: Unix milliseconds of the last answer on the workspace
+	stoodAt                       time.Time     // invariant: time of the last answer on the workspace
 	known                         bool          // invariant: true once the log has answered
 	waits                         poplar.Tokens // invariant: the largest request that waits
 	demand                        float64       // tokens a second
@@ -96,22 +98,21 @@
 // promise is a reserve as named in a draw.
 type promise struct {
 	reserve poplar.Tokens
-	heard   int64 // invariant: as in the draw
+	heard   time.Time // invariant: not before that in the draw
 }
 
 // locked returns what must not be used now.
 func (p *pocket) locked(now time.Time) poplar.Tokens {
-	at := now.UnixMilli()
-	return max(p.promised.locked(at), p.pending.locked(at))
+	return max(p.promised.locked(now), p.pending.locked(now))
 }
 
-func (q promise) locked(at int64) poplar.Tokens {
-	return locked(q.reserve, time.Duration(max(at-q.heard, 0))*time.Millisecond)
+func (q promise) locked(now time.Time) poplar.Tokens {
+	return locked(q.reserve, max(now.Sub(q.heard), 0))
 }
 
 // NewWallet returns the empty wallet of a router that started at the given time.
 func NewWallet(holder Holder, policy Policy, started time.Time) *Wallet {
-	return &Wallet{holder: holder, policy: policy, started: started, purse: map[poplar.Workspace]*pocket{}, given: map[Holder]bool{}}
+	return &Wallet{holder: holder, policy: policy, started: started, heard: started, purse: map[poplar.Workspace]*pocket{}, given: map[Holder]bool{}}
 }
 
 // Holder returns the life of the router.
@@ -160,9 +161,12 @@
 // Look is the state of one workspace in a wallet, for logs.
 type Look struct {
 	Ready, Locked poplar.Tokens
-	// Free is what the log had not issued Age ago.
-	Free poplar.Tokens
-	Age  time.Duration
+	// Free is what the log had not issued Age ago, Spent what all routers had
+	// reported as used, and Lost what ended routers took with them.
+	Free, Spent, Lost poplar.Tokens
+	// Grant is the whole budget as the log knew it.
+	Grant poplar.Tokens
+	Age   time.Duration
 }
 
 // Look returns the state of a workspace.
@@ -171,8 +175,9 @@
 	defer w.mu.Unlock()
 	p := w.pocket(name)
 	return Look{
-		Ready: p.left(now), Locked: p.locked(now), Free: p.stand.Free,
-		Age: time.Duration(now.UnixMilli()-p.stoodAt) * time.Millisecond,
+		Ready: p.left(now), Locked: p.locked(now), Free: p.stand.Free, Spent: p.stand.Spent,
+		Lost: p.stand.Grant - p.stand.Spent - p.stand.Left, Grant: p.stand.Grant,
+		Age: now.Sub(p.stoodAt),
 	}
 }
 
@@ -183,7 +188,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.pocket(name)
-	late := now.Sub(time.UnixMilli(p.stoodAt)) <= standTime
+	late := now.Sub(p.stoodAt) <= standTime
 	return p.known && late && grant <= p.stand.Grant && p.stand.Left < tokens
 }
 
@@ -221,7 +226,7 @@
 		p.note(0, now)
 		if want, due := p.want(grant.Tokens, w.policy, w.routers, now); due {
 			d.Wants[name] = want
-			p.promise(want.Reserve, d.Heard)
+			p.promise(want.Reserve, w.base)
 		}
 	}
 	if len(d.Wants) == 0 {
@@ -234,18 +239,24 @@
 // draw that names it; once one is not, from the last answer. The caller holds
 // the lock.
 func (w *Wallet) next(now time.Time) Draw {
-	heard := w.heard
+	w.base = w.heard
 	if w.answered {
-		heard = now.UnixMilli()
+		w.base = now
 	}
 	w.answered = false
 	w.number++
-	return Draw{Holder: w.holder, Wants: map[poplar.Workspace]Want{}, Number: w.number, Started: w.started.UnixMilli(), Heard: heard}
+	return Draw{
+		Holder: w.holder, Wants: map[poplar.Workspace]Want{}, Number: w.number,
+		Started: w.started.UnixMilli(), Heard: w.base.UnixMilli(),
+		Up: now.Sub(w.started).Milliseconds(), From: w.heardLog + w.base.Sub(w.heard).Milliseconds(),
+	}
 }
 
 // promise notes the reserve that a draw names. The log may learn of it or not.
-func (p *pocket) promise(reserve poplar.Tokens, heard int64) {
-	p.pending.heard = max(p.pending.heard, heard)
+func (p *pocket) promise(reserve poplar.Tokens, heard time.Time) {
+	if heard.After(p.pending.heard) {
+		p.pending.heard = heard
+	}
 	p.pending.reserve = max(p.pending.reserve, reserve)
 }
 
@@ -301,7 +312,7 @@
 		Least: max(p.waits-have, 0),
 		Most:  max(need+reserve-have, 0),
 	}
-	stale := target > 0 && now.UnixMilli()-p.promised.heard > renewTime.Milliseconds()
+	stale := target > 0 && now.Sub(p.promised.heard) > renewTime
 	due := !p.known || p.waits > 0 || w.Most > (ready+reserve)/dueParts || stale || (p.promised.reserve > 0 && target == 0) ||
 		p.returned != p.told.Returned || float64(p.spent-p.told.Spent) > reportPart*float64(grant) ||
 		w.Loans != p.told.Loans
@@ -320,13 +331,13 @@
 	if answer.Stale || d.Number != w.number {
 		return
 	}
-	w.heard, w.answered, w.routers = now.UnixMilli(), true, answer.Routers
+	w.heard, w.heardLog, w.answered, w.routers = now, answer.At, true, answer.Routers
 	for name, stand := range answer.Stands {
 		p := w.pocket(name)
 		p.issued = max(p.issued, stand.Issued)
 		p.stand, p.stoodAt, p.known = stand, w.heard, true
 		p.told = d.Wants[name]
-		p.promised, p.pending = promise{reserve: p.told.Reserve, heard: d.Heard}, promise{}
+		p.promised, p.pending = promise{reserve: p.told.Reserve, heard: w.base}, promise{}
 		p.waits = 0
 	}
 }
