Hold what is free in parts, and wait for tokens that unlock while the log is away

Routers hold a quarter of what is free, not a twentieth of the grant: more while there is much, less near the end. Demand-driven reserves and ready parts are smaller. While the log is out of reach a request waits up to 0.6 of its aim when the lenders say that the tokens will unlock by then, and else is told that time to return; routers that do not answer are not asked again for a second.

--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -30,8 +30,15 @@
 	// firstWait is how long a request waits for the first answer of the log to a
 	// new router. It covers an election of the log.
 	firstWait = 1200 * time.Millisecond
-	// loanLimit bounds the call to another router.
+	// loanLimit bounds the call to another router. One that does not answer is not
+	// asked again for loanPause.
 	loanLimit = 80 * time.Millisecond
+	loanPause = time.Second
+	// tokenPart is the part of the aim that a request waits for tokens that become
+	// ready with time while the log is out of reach, and loanRound the least time
+	// after which the other routers are asked again.
+	tokenPart = 0.6
+	loanRound = 100 * time.Millisecond
 )
 
 // kickDraw asks for a draw soon.
@@ -144,9 +151,12 @@
 	return p.drawn
 }
 
-// reserve takes tokens for a request. When the wallet lacks them it asks the log
-// and then, which helps also while the log is out of reach, the other routers.
-func (p *Proxy) reserve(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens, until time.Time) *poplar.Error {
+// reserve takes tokens for a request that should be answered in the time of aim.
+// When the wallet lacks them it asks the log and then, which helps also while the
+// log is out of reach, the other routers.
+func (p *Proxy) reserve(
+	ctx context.Context, w poplar.Workspace, tokens poplar.Tokens, aim time.Duration, until time.Time,
+) *poplar.Error {
 	if p.wallet.Reserve(w, tokens, time.Now()) {
 		return nil
 	}
@@ -165,13 +175,39 @@
 	if (p.drawGood.Load() || !p.everDrew.Load()) && p.awaitDraw(ctx, w, tokens, wait) {
 		return nil
 	}
-	if p.borrow(ctx, w, tokens) {
-		return nil
+	back := time.Now().Add(drawPeriod)
+	for patient := time.Now().Add(time.Duration(tokenPart * float64(aim))); ; {
+		ok, soon := p.borrow(ctx, w, tokens)
+		if ok {
+			return nil
+		}
+		if p.drawGood.Load() {
+			break
+		}
+		ripe, known := p.wallet.Ripe(w, tokens, soon, time.Now())
+		if known {
+			back = ripe
+		}
+		if !known || ripe.After(patient) || !pause(ctx, max(time.Until(ripe), loanRound)) {
+			break
+		}
 	}
 	had := p.wallet.Look(w, time.Now())
 	return poplar.Failf(poplar.StepReserve, poplar.CodeCut, "no tokens are at hand: %d ready, %d locked, %d free in the log %s ago",
 		had.Ready, had.Locked, had.Free, had.Age.Round(time.Millisecond)).
-		Ran(poplar.RunNo).After(time.Now().Add(drawPeriod))
+		Ran(poplar.RunNo).After(back)
+}
+
+// pause waits and reports whether ctx has not ended.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // awaitDraw waits for the next answer of the log and reserves then.
@@ -188,8 +224,9 @@
 	return p.wallet.Reserve(w, tokens, time.Now())
 }
 
-// borrow asks other routers until the tokens are there.
-func (p *Proxy) borrow(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens) bool {
+// borrow asks other routers until the tokens are there. It returns what those that
+// answered may have to lend in the next second.
+func (p *Proxy) borrow(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens) (ok bool, soon poplar.Tokens) {
 	routers := p.view.Load().routers
 	for _, i := range rand.Perm(len(routers)) {
 		if routers[i] == p.settings.Address {
@@ -198,33 +235,48 @@
 		if ctx.Err() != nil {
 			break
 		}
-		p.borrowFrom(ctx, routers[i], w, tokens)
+		soon += p.borrowFrom(ctx, routers[i], w, tokens)
 		if p.wallet.Reserve(w, tokens, time.Now()) {
-			return true
+			return true, 0
 		}
 	}
-	return p.wallet.Reserve(w, tokens, time.Now())
+	return p.wallet.Reserve(w, tokens, time.Now()), soon
 }
 
-func (p *Proxy) borrowFrom(ctx context.Context, address string, w poplar.Workspace, tokens poplar.Tokens) {
+// borrowFrom asks one router and returns what it may have to lend in the next
+// second.
+func (p *Proxy) borrowFrom(ctx context.Context, address string, w poplar.Workspace, tokens poplar.Tokens) poplar.Tokens {
 	p.lenderMu.Lock()
-	lender := p.lenders[address]
+	from := p.lenders[address]
 	p.lenderMu.Unlock()
-	loan, lacks := p.wallet.Borrow(w, lender, tokens, time.Now())
-	if !lacks {
-		return
+	now := time.Now()
+	loan, lacks := p.wallet.Borrow(w, from.life, tokens, now)
+	if !lacks || now.Before(from.silent) {
+		return 0
 	}
 	lent, err := peer.CallWithin[purse.Loan, purse.Lent](ctx, loanLimit, p.pool, peer.Seed(address), core.OpLend, loan)
 	if err != nil {
 		p.log.Debug("no loan", "at", address, "error", err)
-		return
+		p.setLender(address, lender{life: from.life, silent: time.Now().Add(loanPause)})
+		return 0
 	}
-	if lent.Lender != lender {
+	if lent.Lender != from.life {
 		// Another life of the router: what it lends is counted from its start.
-		p.lenderMu.Lock()
-		p.lenders[address] = lent.Lender
-		p.lenderMu.Unlock()
+		p.setLender(address, lender{life: lent.Lender})
 	}
 	p.wallet.Borrowed(w, lent)
 	p.log.Debug("loan", "at", address, "workspace", string(w), "had", int64(loan.Had), "sum", int64(lent.Sum))
+	return lent.Soon
+}
+
+// lender is what is known of a router that lends.
+type lender struct {
+	life   purse.Holder
+	silent time.Time // invariant: not asked before it
+}
+
+func (p *Proxy) setLender(address string, l lender) {
+	p.lenderMu.Lock()
+	defer p.lenderMu.Unlock()
+	p.lenders[address] = l
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -24,6 +24,9 @@
 	// retryStart is the same while the router has just started and knows no
 	// configuration.
 	retryStart = time.Second
+	// retryPart: callers return after this part of the time they have left at the
+	// latest, whatever they are told.
+	retryPart = 3
 	// leastRetry is the shortest time to return that is told.
 	leastRetry = 50 * time.Millisecond
 )
@@ -156,7 +159,7 @@
 	if x.holder == nil || !x.holder.Bound || cost <= 0 {
 		return nil
 	}
-	if err := x.p.reserve(x.ctx, x.holder.Name, cost, x.until); err != nil {
+	if err := x.p.reserve(x.ctx, x.holder.Name, cost, x.route.Aim, x.until); err != nil {
 		if x.uncovered(cost) {
 			had := x.p.wallet.Look(x.holder.Name, time.Now())
 			return poplar.Failf(poplar.StepReserve, poplar.CodeBudget,
@@ -235,7 +238,11 @@
 	}
 	h := x.w.Header()
 	if status == http.StatusServiceUnavailable {
-		wait := max(err.Retry().Sub(now), leastRetry)
+		wait := err.Retry().Sub(now)
+		if !x.until.IsZero() {
+			wait = min(wait, x.until.Sub(now)/retryPart)
+		}
+		wait = max(wait, leastRetry)
 		h.Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 	}
 	h["Content-Type"] = nil
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,7 +86,7 @@
 	drawn    chan struct{} // invariant: guarded by drawMu; closed at the next answer
 
 	lenderMu sync.Mutex
-	lenders  map[string]purse.Holder // invariant: guarded by lenderMu; lives of routers that lent, by address
+	lenders  map[string]lender // invariant: guarded by lenderMu; by peer address
 
 	routerMu  sync.Mutex
 	routers   map[string]time.Time // invariant: guarded by routerMu; when each router was last named
@@ -116,7 +116,7 @@
 		drawKick: make(chan struct{}, 1),
 		drawn:    make(chan struct{}),
 		repeats:  map[poplar.Service]*retry.Window{},
-		lenders:  map[string]purse.Holder{},
+		lenders:  map[string]lender{},
 		routers:  map[string]time.Time{},
 		union:    roster.NewUnion(),
 		sources:  map[string]*source{},
--- a/pkg/purse/loan.go
+++ b/pkg/purse/loan.go
@@ -25,6 +25,8 @@
 	Lender Holder `json:"by"`
 	// Sum is the sum of the loans to the borrower.
 	Sum poplar.Tokens `json:"sum"`
+	// Soon is what the lender may have to lend in the next second.
+	Soon poplar.Tokens `json:"soon,omitempty"`
 }
 
 // lendPart is the part of what a router has ready that it lends at once, beyond
@@ -46,7 +48,7 @@
 		p.lent += more
 		p.lentTo[l.Borrower] = sum
 	}
-	return Lent{Lender: w.holder, Sum: sum}
+	return Lent{Lender: w.holder, Sum: sum, Soon: p.soon(now)}
 }
 
 // Gift is what a router that stops hands to another one.
--- a/pkg/purse/purse_test.go
+++ b/pkg/purse/purse_test.go
@@ -359,7 +359,7 @@
 				}
 			}
 			held := w.grant - w.book.Budgets[space].free()
-			most := (DefaultPolicy().Floor*(1+readyPart) + surplusPart) * float64(w.grant)
+			most := (DefaultPolicy().Idle*(1+readyPart) + surplusPart) * float64(w.grant)
 			assert.Assert(t, float64(held) <= most, "%d of %d tokens are held", held, w.grant)
 		})
 	}
--- a/pkg/purse/wallet.go
+++ b/pkg/purse/wallet.go
@@ -17,14 +17,16 @@
 	// Surge is the rise of demand that is allowed for. The reserve lasts for
 	// UnlockTime at such a demand.
 	Surge float64
-	// Floor is the part of a grant that all routers together like to hold, in
-	// even parts, without any demand, while the grant is not short.
-	Floor float64
+	// Idle is the part of what is free that all routers together like to hold, in
+	// even parts, without any demand. It shrinks with what is free, so that little
+	// lies idle or is lost with a router near the end of a budget.
+	Idle float64
 }
 
-// DefaultPolicy covers a separation of ten seconds.
+// DefaultPolicy covers a separation of ten seconds. Its figures served most in
+// the load of load_test.go.
 func DefaultPolicy() Policy {
-	return Policy{Ready: 400 * time.Millisecond, Surge: 1.3, Floor: 0.05}
+	return Policy{Ready: 200 * time.Millisecond, Surge: 1.2, Idle: 0.25}
 }
 
 const (
@@ -32,10 +34,14 @@
 	demandTime = 5 * time.Second
 	// shortPart is the part of a grant below which what is free counts as short.
 	// From there on routers hold less, down to leastPart of what they like.
-	shortPart = 0.06
-	leastPart = 0.2
-	// readyPart is the least part of the floor that is not in the reserve.
-	readyPart = 0.15
+	shortPart = 0.1
+	leastPart = 0.1
+	// readyPart is the part of what is held without demand that is not in the
+	// reserve.
+	readyPart = 0.3
+	// readyLumps is the number of the largest requests seen for which what is ready
+	// without demand suffices; more would be lost with the router for nothing.
+	readyLumps = 4
 	// reportPart is the part of a grant whose use is worth a report by itself.
 	reportPart = 0.005
 	// dueParts: a draw is due when this part of what the router likes to hold
@@ -44,9 +50,10 @@
 	// surplusPart is the part of a grant that all routers together may hold beyond
 	// what they like, so that little is not given back at once.
 	surplusPart = 0.02
-	// lumps is the part of the largest late request that is held ready; the rest
-	// is drawn or borrowed.
-	lumps = 0.35
+	// leastLump is the part of the largest late request that is held ready where
+	// nothing is free, and the whole of it where all is; the rest is drawn or
+	// borrowed.
+	leastLump = 0.2
 	// lumpTime is the time in which the size of the largest request is
 	// forgotten.
 	lumpTime = 10 * time.Second
@@ -91,6 +98,7 @@
 	waits                         poplar.Tokens // invariant: the largest request that waits
 	demand                        float64       // tokens a second
 	lump                          float64       // tokens of the largest request of late
+	largest                       float64       // tokens of the largest request ever
 	seen                          time.Time     // invariant: when demand was brought up to date
 	told                          Want          // invariant: as last answered
 }
@@ -140,7 +148,7 @@
 	if p.left(now) < tokens || w.closed {
 		p.waits = max(p.waits, tokens)
 		p.note(0, now)
-		p.lump = max(p.lump, float64(tokens))
+		p.size(float64(tokens))
 		return false
 	}
 	p.open += tokens
@@ -158,9 +166,11 @@
 	p.demand = max(0, p.demand-float64(reserved-min(used, reserved))/demandTime.Seconds())
 }
 
-// Look is the state of one workspace in a wallet, for logs.
+// Look is the state of one workspace in a wallet.
 type Look struct {
 	Ready, Locked poplar.Tokens
+	// Soon is what becomes ready in the next second beyond the demand of late.
+	Soon poplar.Tokens
 	// Free is what the log had not issued Age ago, Spent what all routers had
 	// reported as used, and Lost what ended routers took with them.
 	Free, Spent, Lost poplar.Tokens
@@ -175,12 +185,27 @@
 	defer w.mu.Unlock()
 	p := w.pocket(name)
 	return Look{
-		Ready: p.left(now), Locked: p.locked(now), Free: p.stand.Free, Spent: p.stand.Spent,
+		Ready: p.left(now), Locked: p.locked(now), Soon: p.soon(now), Free: p.stand.Free, Spent: p.stand.Spent,
 		Lost: p.stand.Grant - p.stand.Spent - p.stand.Left, Grant: p.stand.Grant,
 		Age: now.Sub(p.stoodAt),
 	}
 }
 
+// Ripe returns when a request of the given size can be expected to find its
+// tokens while draws are not answered, if other routers may lend the given number
+// of tokens a second. It reports false when that cannot be told.
+func (w *Wallet) Ripe(name poplar.Workspace, tokens, others poplar.Tokens, now time.Time) (time.Time, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.pocket(name)
+	rate := others + p.soon(now)
+	if rate <= 0 {
+		return time.Time{}, false
+	}
+	lack := max(0, tokens-p.left(now))
+	return now.Add(time.Duration(float64(lack) / float64(rate) * float64(time.Second))), true
+}
+
 // Exhausted reports whether, by a late answer of the log, a budget with the given
 // grant cannot cover a request of the given size even if every other router gave
 // back what it holds.
@@ -192,6 +217,13 @@
 	return p.known && late && grant <= p.stand.Grant && p.stand.Left < tokens
 }
 
+// soon returns the tokens that become ready in the next second beyond the
+// demand of late, while draws are not answered.
+func (p *pocket) soon(now time.Time) poplar.Tokens {
+	more := p.locked(now) - p.locked(now.Add(time.Second))
+	return max(0, more-poplar.Tokens(p.demand))
+}
+
 func (p *pocket) left(now time.Time) poplar.Tokens { return p.held() - p.open - p.locked(now) }
 
 // held is what was issued or lent to the router and not used.
@@ -207,10 +239,15 @@
 		p.lump *= max(1-passed/float64(lumpTime), 0)
 	}
 	p.demand += tokens / demandTime.Seconds()
-	p.lump = max(p.lump, tokens)
+	p.size(tokens)
 	p.seen = now
 }
 
+// size notes the size of a request.
+func (p *pocket) size(tokens float64) {
+	p.lump, p.largest = max(p.lump, tokens), max(p.largest, tokens)
+}
+
 // Draw returns what is to be reported and asked for. It reports false when
 // nothing is due.
 func (w *Wallet) Draw(workspaces map[poplar.Workspace]Grant, now time.Time) (Draw, bool) {
@@ -276,12 +313,20 @@
 
 // likes returns what the router likes to hold ready and in reserve.
 func (p *pocket) likes(grant poplar.Tokens, policy Policy, routers int) (ready, reserve poplar.Tokens) {
-	floor := 0.0
-	if routers > 0 {
-		floor = policy.Floor * float64(grant) / float64(routers)
+	idle, lumps := 0.0, 1.0
+	if p.known && grant > 0 {
+		free := min(1, max(0, float64(p.stand.Free)/float64(grant)))
+		lumps = leastLump + (1-leastLump)*free
+		if routers > 0 {
+			idle = policy.Idle * free * float64(grant) / float64(routers)
+		}
+	}
+	idleReady := idle * readyPart
+	if p.largest > 0 {
+		idleReady = min(idleReady, readyLumps*p.largest)
 	}
-	ready0 := max(p.demand*policy.Ready.Seconds()*policy.Surge+lumps*p.lump, floor*readyPart)
-	reserve0 := max(p.demand*UnlockTime.Seconds()*policy.Surge, floor)
+	ready0 := max(p.demand*policy.Ready.Seconds()*policy.Surge+lumps*p.lump, idleReady)
+	reserve0 := max(p.demand*UnlockTime.Seconds()*policy.Surge, idle)
 	if part := float64(p.stand.Free) / max(shortPart*float64(grant), 1); p.known && part < 1 {
 		// Tokens that lie idle here are wanted elsewhere.
 		ready0 = p.demand * policy.Ready.Seconds() * max(part, leastPart)
