Stop requests that crash upstreams at every router, and send less between daemons

Routers without a disk remembered nothing of a request that had crashed its upstream. A broken answer whose upstream then refuses connections or has started again is a crash; control daemons pass the records on by the watches that they hold, and after the second crash the request is refused, not run. A whole answer clears it. Lost answers alone count for nothing.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"poplarbend.example/poplar/internal/loops"
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/internal/voter"
+	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/purse"
 	"poplarbend.example/poplar/pkg/quorum"
 	"poplarbend.example/poplar/pkg/roster"
@@ -77,6 +78,8 @@
 	roster   *roster.Roster            // invariant: guarded by mu
 	changed  chan struct{}             // invariant: guarded by mu; closed at the next change of the roster
 	watchers map[poplar.Daemon]watcher // invariant: guarded by mu
+	poison   *poison.Book              // invariant: guarded by mu
+	poisoned uint64                    // invariant: guarded by mu; grows with each change of poison
 	asked    []poplar.Daemon           // invariant: guarded by mu; whom to ask for the log
 	loops    loops.Runner
 }
@@ -103,6 +106,7 @@
 		changed:  make(chan struct{}),
 		ended:    make(chan struct{}),
 		watchers: map[poplar.Daemon]watcher{},
+		poison:   poison.NewBook(poison.DefaultSettings()),
 	}
 	c.asked = names(s.Seeds)
 	if err := c.open(); err != nil {
@@ -214,6 +218,10 @@
 		return c.voter.Load().ProposeHere(ctx, command)
 	})
 	m[OpWatch] = peer.Handle(c.watch)
+	m[OpPoison] = peer.Handle(func(_ context.Context, _ poplar.Daemon, records []poison.Record) (struct{}, error) {
+		c.learn(records)
+		return struct{}{}, nil
+	})
 	m[OpFetch] = peer.Handle(func(context.Context, poplar.Daemon, struct{}) (Fetched, error) {
 		held, _ := c.replica.held()
 		return Fetched{Revision: held.Revision, Document: held.Document}, nil
@@ -307,12 +315,23 @@
 func (c *Core) sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.poison.Sweep(c.settings.Clock.Now())
 	if c.roster.Sweep(c.settings.Clock.Now()) {
 		c.announce()
 	}
 }
 
-// announce wakes those who wait for the roster. The caller holds the lock.
+// learn takes what a router knows of requests that crash upstreams.
+func (c *Core) learn(records []poison.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.poison.Learn(records) {
+		c.poisoned++
+		c.announce()
+	}
+}
+
+// announce wakes those who wait for the roster or for records of crashes. The caller holds the lock.
 func (c *Core) announce() {
 	close(c.changed)
 	c.changed = make(chan struct{})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -16,6 +16,7 @@
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/internal/trace"
 	"poplarbend.example/poplar/pkg/disk"
+	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/purse"
 	"poplarbend.example/poplar/pkg/roster"
 )
@@ -213,6 +214,29 @@
 	assert.NilError(t, <-heard)
 }
 
+// TestWatchTellsCrashes tells one router what another one saw crash, at once.
+func TestWatchTellsCrashes(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.cores[f.seeds[0]]
+	f.declare(f.seeds[0], 1, "one")
+	first, err := c.watch(t.Context(), "router", Watch{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(first.Records), 0)
+	record := poison.Record{Print: 7, Crashes: []poison.Crash{{Upstream: "up", Boot: 1, At: time.Now()}}}
+	c.learn([]poison.Record{record})
+	w := Watch{Life: first.Life, Roster: first.Roster, Revision: first.Revision, Poison: first.Poison}
+	second, err := c.watch(t.Context(), "router", w)
+	assert.NilError(t, err)
+	assert.Equal(t, len(second.Records), 1)
+	assert.Equal(t, second.Records[0].Print, poison.Print(7))
+	c.learn([]poison.Record{record})
+	w.Poison = second.Poison
+	w.Hurry = true
+	third, err := c.watch(t.Context(), "router", w)
+	assert.NilError(t, err)
+	assert.Equal(t, len(third.Records), 0, "nothing is new")
+}
+
 // later announces while a watch is held.
 type later struct {
 	c      *Core
--- a/internal/core/proto.go
+++ b/internal/core/proto.go
@@ -5,6 +5,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/roster"
 )
 
@@ -16,6 +17,8 @@
 	OpWatch = peer.OpFollow
 	OpFetch = peer.OpInspect
 	OpDraw  = peer.OpDemand
+	// OpPoison takes records of requests that crash upstreams.
+	OpPoison = peer.OpPoison
 )
 
 // The operations that routers serve to each other.
@@ -27,10 +30,11 @@
 // Watch asks for what changed since the last answer. The call is held until
 // there is news, for HoldTime at most.
 type Watch struct {
-	// Life and Roster are those of the last answer of the same daemon.
+	// Life, Roster and Poison are those of the last answer of the same daemon.
 	Life     uint64          `json:"life,omitempty"`
 	Roster   uint64          `json:"roster,omitempty"`
 	Revision poplar.Revision `json:"number,omitempty"`
+	Poison   uint64          `json:"poison,omitempty"`
 	// Address is the peer address of the router.
 	Address string `json:"at,omitempty"`
 	// Hurry asks for an answer at once.
@@ -44,6 +48,9 @@
 	Roster   uint64          `json:"roster"`
 	// Entries is set when Roster differs from the question.
 	Entries []roster.Entry `json:"list,omitempty"`
+	// Records is set when Poison differs from the question.
+	Poison  uint64          `json:"poison,omitempty"`
+	Records []poison.Record `json:"records,omitempty"`
 	// Cores are the peer addresses of the control daemons.
 	Cores []string `json:"cores"`
 	// Led is true while the daemon is in contact with a leader of the log.
@@ -55,7 +62,7 @@
 // Fetched is the configuration in force at a control daemon.
 type Fetched struct {
 	Revision poplar.Revision `json:"number"`
-	Document []byte          `json:"text"`
+	Document []byte          `json:"text"` // see Unpack
 }
 
 // HoldTime is the longest time for which a Watch is held. It bounds how late a
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -32,7 +32,7 @@
 	defer limit.Stop()
 	for wait := !w.Hurry; ; {
 		seen, config, list := c.look(w)
-		if !wait || seen.Life != w.Life || seen.Roster != w.Roster || seen.Revision > w.Revision {
+		if !wait || seen.Life != w.Life || seen.Roster != w.Roster || seen.Poison != w.Poison || seen.Revision > w.Revision {
 			return seen, nil
 		}
 		select {
@@ -51,10 +51,13 @@
 	held, config := c.replica.held()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	seen = Seen{Life: c.life, Revision: held.Revision, Roster: c.roster.Version()}
+	seen = Seen{Life: c.life, Revision: held.Revision, Roster: c.roster.Version(), Poison: c.poisoned}
 	if w.Life != c.life || w.Roster != seen.Roster {
 		seen.Entries = c.roster.Entries()
 	}
+	if w.Life != c.life || w.Poison != seen.Poison {
+		seen.Records = c.poison.Records(mostRecords)
+	}
 	for _, r := range c.watchers {
 		seen.Routers = append(seen.Routers, r.address)
 	}
@@ -65,6 +68,9 @@
 	return seen, config, c.changed
 }
 
+// mostRecords bounds the records of crashes that a router is told at once.
+const mostRecords = 256
+
 // note remembers that a router watches.
 func (c *Core) note(from poplar.Daemon, address string) {
 	c.mu.Lock()
@@ -90,9 +96,13 @@
 	if o, decided := compare(number, digest, held.Revision, held.Digest); decided {
 		return o, nil
 	}
+	packed, err := pack(document)
+	if err != nil {
+		return "", poplar.Fail(poplar.StepPropose, poplar.CodeInternal, err)
+	}
 	limit, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
-	out, err := c.propose(limit, command{Put: &put{Revision: number, Digest: digest, Document: document, Grants: grants}})
+	out, err := c.propose(limit, command{Put: &put{Revision: number, Digest: digest, Document: packed, Grants: grants}})
 	c.settings.Log.Info("declare", "revision", uint64(number), "outcome", string(out.Outcome), "held", uint64(out.Revision), "error", err)
 	return out.Outcome, err
 }
@@ -109,7 +119,11 @@
 	for {
 		held, news := c.replica.held()
 		if held.Revision >= out.Revision {
-			return held.Revision, held.Document, nil
+			document, err := Unpack(held.Document)
+			if err != nil {
+				return 0, nil, poplar.Fail(poplar.StepPropose, poplar.CodeCorrupt, err)
+			}
+			return held.Revision, document, nil
 		}
 		select {
 		case <-news:
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -27,7 +27,7 @@
 type put struct {
 	Revision poplar.Revision                  `json:"number"`
 	Digest   string                           `json:"digest"`
-	Document []byte                           `json:"text"`
+	Document []byte                           `json:"text"` // see Unpack
 	Grants   map[poplar.Workspace]purse.Grant `json:"grants,omitempty"`
 }
 
@@ -58,7 +58,7 @@
 type image struct {
 	Revision poplar.Revision `json:"number"`
 	Digest   string          `json:"digest,omitempty"`
-	Document []byte          `json:"text,omitempty"`
+	Document []byte          `json:"text,omitempty"` // see Unpack
 	Book     *purse.Book     `json:"book"`
 	// Now is the latest time at which a draw arrived, in milliseconds. It only
 	// grows, whichever member takes the draws.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -154,3 +157,23 @@
 		return poll.Continue("%d of 300", got.Load())
 	})
 }
+
+// TestCallsCarryOnlyWhatIsRead looks at the headers of a call and its answer.
+func TestCallsCarryOnlyWhatIsRead(t *testing.T) {
+	var m Methods
+	m[OpSettle] = Handle(func(context.Context, poplar.Daemon, struct{}) (struct{}, error) { return struct{}{}, nil })
+	inner := NewServer("b", "", m)
+	var call, answer http.Header
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call = r.Header.Clone()
+		inner.ServeHTTP(w, r)
+		answer = w.Header()
+	}))
+	defer s.Close()
+	pool := NewPool("a", "", nil)
+	defer pool.Close()
+	_, err := Call[struct{}, struct{}](t.Context(), pool, Seed(s.Listener.Addr().String()), OpSettle, struct{}{})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, slices.Sorted(maps.Keys(call)), []string{"Content-Length", "Content-Type"})
+	assert.Assert(t, answer["Date"] == nil)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -88,6 +88,7 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: idlePerPeer,
 		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true, // most messages are shorter than what compression adds
 	}
 	p := &Pool{
 		self:  self,
@@ -176,7 +177,11 @@
 	return Call[Req, Resp](ctx, p, to, op, req)
 }
 
-// bearer adds the peers' credential to each call.
+// unread are headers of a call that peers do not read. Most messages are shorter
+// than their headers.
+var unread = []string{"Accept", "Twirp-Version"}
+
+// bearer adds the peers' credential to each call, and takes away what is not read.
 type bearer struct {
 	token string
 	next  http.RoundTripper
@@ -184,8 +189,12 @@
 
 // RoundTrip implements http.RoundTripper.
 func (b bearer) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	for _, name := range unread {
+		r.Header.Del(name)
+	}
+	r.Header["User-Agent"] = nil // none, not that of the library
 	if b.token != "" {
-		r = r.Clone(r.Context())
 		r.Header.Set("Authorization", "Bearer "+b.token)
 	}
 	resp, err := b.next.RoundTrip(r)
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -34,6 +34,7 @@
 		http.Error(w, "the peer credential is missing or wrong", http.StatusUnauthorized)
 		return
 	}
+	w.Header()["Date"] = nil // peers do not read it
 	r.Body = http.MaxBytesReader(w, r.Body, requestMaximum)
 	g.next.ServeHTTP(w, r)
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -154,6 +154,9 @@
 
 // admit counts the request and reserves its tokens.
 func (x *exchange) admit() *poplar.Error {
+	if err := x.checkPoison(); err != nil {
+		return err
+	}
 	x.p.count(x.target, x.start)
 	cost := x.env.Cost()
 	if x.holder == nil || !x.holder.Bound || cost <= 0 {
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -7,6 +7,7 @@
 
 	"poplarbend.example/poplar/internal/core"
 	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/plan"
 )
 
 // This file holds how a router follows the control daemons. It watches all of
@@ -111,7 +112,10 @@
 	if seen.Life != w.Life || seen.Roster != w.Roster {
 		s.take(seen)
 	}
-	s.last = core.Watch{Life: seen.Life, Roster: seen.Roster}
+	if len(seen.Records) > 0 {
+		p.suspects.learn(seen.Records, time.Now())
+	}
+	s.last = core.Watch{Life: seen.Life, Roster: seen.Roster, Poison: seen.Poison}
 	if seen.Revision > w.Revision {
 		s.fetch(seen)
 	}
@@ -193,7 +197,11 @@
 		p.log.Warn("configuration not fetched", "at", s.address, "revision", uint64(seen.Revision), "error", err)
 		return
 	}
-	next, err := p.settings.Read(f.Document)
+	document, err := core.Unpack(f.Document)
+	var next *plan.Plan
+	if err == nil {
+		next, err = p.settings.Read(document)
+	}
 	if err != nil {
 		p.log.Error("configuration not readable", "at", s.address, "revision", uint64(f.Revision), "error", err)
 		return
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -72,6 +72,7 @@
 	model    place.Model
 	wallet   *purse.Wallet
 	meters   meters
+	suspects *suspects
 
 	view   atomic.Pointer[view]
 	viewMu sync.Mutex // invariant: held by the one that replaces view
@@ -79,6 +80,7 @@
 	drains atomic.Bool
 	open   atomic.Int64 // requests of callers that are being served
 
+	tellKick chan struct{}
 	drawKick chan struct{}
 	drawGood atomic.Bool // true while the last draw was answered
 	everDrew atomic.Bool // true once a draw was answered
@@ -113,6 +115,8 @@
 		model:    place.DefaultModel(),
 		wallet:   purse.NewWallet(s.Holder, purse.DefaultPolicy(), time.Now()),
 		meters:   newMeters(s.Vars),
+		suspects: newSuspects(),
+		tellKick: make(chan struct{}, 1),
 		drawKick: make(chan struct{}, 1),
 		drawn:    make(chan struct{}),
 		repeats:  map[poplar.Service]*retry.Window{},
@@ -132,6 +136,7 @@
 	p.Seeds(p.settings.Seeds)
 	p.start(p.drawLoop)
 	p.start(p.sweepLoop)
+	p.start(p.tellLoop)
 }
 
 func (p *Proxy) start(loop func()) {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -225,6 +225,7 @@
 			return resultEnded
 		}
 		u.unreached(time.Now())
+		x.p.crashed(u)
 		x.p.log.Info("unreached", "id", x.env.ID, "upstream", string(u.name), "at", u.address, "error", err)
 		return resultUnsent
 	}
@@ -250,8 +251,14 @@
 	if out == resultBroken && x.ctx.Err() != nil {
 		return resultEnded
 	}
-	if out == resultBroken {
+	switch out {
+	case resultBroken:
 		u.failed(time.Now())
+		if !w.watch.fired() {
+			x.p.suspects.broke(u, x.print(), time.Now())
+		}
+	case resultDone:
+		x.p.tell(x.p.suspects.finished(x, time.Now()))
 	}
 	if out != resultDone {
 		x.p.log.Info("attempt", "id", x.env.ID, "upstream", string(u.name), "result", resultNames[out], "reused", conn.Reused(),
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"poplarbend.example/poplar/pkg/plan"
@@ -150,12 +151,16 @@
 type stall struct {
 	timer    *time.Timer // invariant: nil without patience
 	patience time.Duration
+	over     atomic.Bool
 }
 
 func newStall(cancel context.CancelFunc, patience time.Duration) *stall {
 	s := &stall{patience: patience}
 	if patience > 0 {
-		s.timer = time.AfterFunc(patience, cancel)
+		s.timer = time.AfterFunc(patience, func() {
+			s.over.Store(true)
+			cancel()
+		})
 	}
 	return s
 }
@@ -167,6 +172,9 @@
 	}
 }
 
+// fired reports whether the attempt was ended.
+func (s *stall) fired() bool { return s.over.Load() }
+
 func (s *stall) stop() {
 	if s.timer != nil {
 		s.timer.Stop()
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -47,6 +47,7 @@
 // list replaces the upstreams by what the control daemons say. The counters of
 // an upstream live as long as its start.
 func (p *Proxy) list(entries []roster.Entry) {
+	var gone []*upstream
 	p.publish(func(v *view) {
 		old := map[poplar.Upstream]*upstream{}
 		for _, group := range v.services {
@@ -70,6 +71,7 @@
 		for _, u := range old {
 			// Requests that are open may still know it.
 			u.leaving.Store(true)
+			gone = append(gone, u)
 			p.log.Info("upstream", "upstream", string(u.name), "state", string(roster.StateGone), "at", u.address, "service", string(u.service))
 		}
 		v.longs = map[poplar.Service]map[poplar.Upstream]bool{}
@@ -77,6 +79,9 @@
 			v.longs[service] = longs(group)
 		}
 	})
+	for _, u := range gone {
+		p.crashed(u)
+	}
 }
 
 // longs returns the upstreams that long prompts prefer, of those that take new
