--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -162,10 +162,6 @@
 	return all[len(all)/2]
 }
 
-// away is the part of a shared prompt part that is likely to be missing at its
-// first home, its second and anywhere else.
-var away = [...]float64{0, 0.5, 1}
-
 // A part that is read again costs the upstream more than the time of this
 // request: it pushes other parts out.
 const (
@@ -174,8 +170,7 @@
 )
 
 // astray returns the tokens to add at each upstream of the group where the
-// prompt's longest shared part is not at home: all routers spread a part over the
-// same few upstreams.
+// prompt's longest shared part is not at home: all routers know the same home.
 func (x *exchange) astray(group []*upstream, longs map[poplar.Upstream]bool) []float64 {
 	add := make([]float64, len(group))
 	part, ok := x.anchor()
@@ -189,7 +184,7 @@
 	tokens := float64(part.Tokens)
 	most := min(rereadWeight*tokens, tokens+mostExtra)
 	for i, before := range place.Homes(part.Name, list) {
-		add[i] = away[before] * most
+		add[i] = float64(before) * most
 	}
 	return add
 }
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -147,8 +147,9 @@
 	Usable bool
 }
 
-// mostHomes is the number of upstreams that a part is kept at.
-const mostHomes = 2
+// mostHomes is the number of upstreams that a part is kept at. Each more reads the
+// part once more, and the wait at one home outweighs that only when it is busy.
+const mostHomes = 1
 
 // Homes returns, for each upstream of the list, how many usable ones of its kind
 // come before it as homes of the part, up to mostHomes. It reads each upstream
