Repeat on new connections, keep to an upstream's connections, and have the demo return as told

A repeat goes out on a new connection.

Routers divide the connections that an upstream takes; it resets those beyond, with the requests on them.

The demo's caller returns whenever a refusal tells it when, at each step; before, only for the stream and only after "not run".

--- a/internal/demo/call.go
+++ b/internal/demo/call.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/fault"
@@ -43,12 +44,41 @@
 	return s.do(req)
 }
 
-// post calls the daemon of domains[at] as a caller.
+// post calls the daemon of domains[at] as a caller, and returns as often as a
+// refusal tells it to: under one key a request runs once, however often it is
+// sent.
 func (s *story) post(ctx context.Context, at int, path, credential, key, body string) (answer, error) {
-	target := "http://" + s.fleet.settings[at].Listen.Callers + path
+	return s.insist(ctx, "http://"+s.fleet.settings[at].Listen.Callers+path, credential, key, body)
+}
+
+// insist sends a request until it is answered, or refused for good, for a bounded
+// time.
+func (s *story) insist(ctx context.Context, target, credential, key, body string) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitTime)
+	defer cancel()
+	told := ""
+	for {
+		got, err := s.send(ctx, target, credential, key, body)
+		if err != nil || got.problem == nil || got.problem.Retry().IsZero() {
+			return got, err
+		}
+		if text := got.problem.Error(); text != told {
+			told = text
+			fmt.Fprintf(s.out, "refused, run %s, asking again: %s\n", got.problem.Run(), text)
+		}
+		select {
+		case <-ctx.Done():
+			return got, nil
+		case <-time.After(max(time.Until(got.problem.Retry()), pollTime)):
+		}
+	}
+}
+
+// send sends a request once.
+func (s *story) send(ctx context.Context, target, credential, key, body string) (answer, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, strings.NewReader(body))
 	if err != nil {
-		return answer{}, fmt.Errorf("post %s: %w", path, err)
+		return answer{}, fmt.Errorf("post %s: %w", target, err)
 	}
 	req.Header.Set("Authorization", "Bearer "+credential)
 	req.Header.Set("Idempotency-Key", key)
--- a/internal/demo/story.go
+++ b/internal/demo/story.go
@@ -205,7 +205,7 @@
 // stream asks for a stream and wants it whole, with its usage.
 func (s *story) stream(ctx context.Context) error {
 	var err error
-	if s.cue, err = s.ask(ctx); err != nil {
+	if s.cue, err = s.post(ctx, 0, "/v1/chat/completions", keyEnugu, cueKey, cueRequest); err != nil {
 		return err
 	}
 	if err := s.cue.want(http.StatusOK); err != nil {
@@ -218,29 +218,6 @@
 	return nil
 }
 
-// ask asks for the stream, and as a caller would, again after a refusal that
-// says "not run".
-func (s *story) ask(ctx context.Context) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, waitTime)
-	defer cancel()
-	told := ""
-	for {
-		got, err := s.post(ctx, 0, "/v1/chat/completions", keyEnugu, cueKey, cueRequest)
-		if err != nil || got.problem == nil || got.problem.Run() != poplar.RunNo {
-			return got, err
-		}
-		if text := got.problem.Error(); text != told {
-			told = text
-			fmt.Fprintf(s.out, "not run, asking again: %s\n", text)
-		}
-		select {
-		case <-ctx.Done():
-			return got, nil
-		case <-time.After(pollTime):
-		}
-	}
-}
-
 // retry sends the streamed request again, to a daemon of another domain.
 func (s *story) retry(ctx context.Context) error {
 	before := s.fleet.generated()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -132,9 +132,10 @@
 	longs := latest.longs[x.target]
 	long := place.Long(float64(x.env.Prompt))
 	astray := x.astray(group, longs)
+	most := latest.connections(x.target)
 	for i, u := range group {
 		list[i] = u.candidate(x.env.Parts, x.env.Prompt, x.p.settings.Domain, now)
-		list[i].Closed = list[i].Closed || x.tried[u]
+		list[i].Closed = list[i].Closed || x.tried[u] || u.busy(most)
 		list[i].Missing += astray[i]
 		list[i].Misfit = x.env.Prompt > 0 && longs[u.name] != long
 	}
@@ -206,15 +207,11 @@
 // try makes one attempt at u.
 func (x *exchange) try(u *upstream) result {
 	now := time.Now()
-	recent := time.Time{}
-	if !x.route.Kind.Repeatable() {
-		recent = now.Add(-soundTime)
-	}
 	limit := now.Add(connectLimit)
 	if limit.After(x.until) {
 		limit = x.until
 	}
-	conn, err := x.p.conns.Get(x.ctx, u.address, limit, recent)
+	conn, err := x.p.conns.Get(x.ctx, u.address, limit, x.recent(now))
 	if err != nil {
 		if x.ctx.Err() != nil {
 			return resultEnded
@@ -262,6 +259,19 @@
 	return out
 }
 
+// recent returns since when a connection must have been used to carry the request.
+// A repeat gets a new one: what broke the first attempt may have broken idle
+// connections as well, and few tries are left.
+func (x *exchange) recent(now time.Time) time.Time {
+	switch {
+	case x.sends > 0:
+		return now
+	case !x.route.Kind.Repeatable():
+		return now.Add(-soundTime)
+	}
+	return time.Time{}
+}
+
 var resultNames = [...]string{"done", "unsent", "refused", "broken", "failed", "ended"}
 
 func (x *exchange) cached(u *upstream) poplar.Tokens {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -73,6 +73,14 @@
 	u.unread += prompt
 }
 
+// busy reports whether this router has the given number of requests open there. A
+// connection carries one at a time.
+func (u *upstream) busy(most int) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.running >= most
+}
+
 // read counts the first byte of an answer.
 func (u *upstream) read(prompt poplar.Tokens) {
 	u.mu.Lock()
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -19,6 +20,21 @@
 	routers  []string                                    // peer addresses of the routers, this one included
 }
 
+// connectionPart is the part of the connections that an upstream takes which the
+// routers divide among themselves. The rest is for routers that were just added.
+const connectionPart = 0.9
+
+// connections returns the number of connections that this router may have to one
+// upstream of the service: an upstream resets those beyond what it takes from all
+// routers, with the requests on them.
+func (v *view) connections(name poplar.Service) int {
+	s := v.table.Service(name)
+	if s == nil || s.Connections <= 0 {
+		return math.MaxInt
+	}
+	return max(1, int(connectionPart*float64(s.Connections)/float64(max(1, len(v.routers)))))
+}
+
 // publish replaces the view. It is called by one goroutine at a time.
 func (p *Proxy) publish(change func(*view)) {
 	p.viewMu.Lock()
