--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -88,8 +88,9 @@
 		p.log.Info("draws succeed", "at", to)
 	}
 	p.wallet.Apply(d, answer, time.Now())
-	for name, tokens := range answer.Lost {
-		p.log.Warn("tokens written off", "workspace", string(name), "tokens", int64(tokens), "life", d.Holder.Life)
+	for name, l := range answer.Lost {
+		p.log.Warn("tokens written off", "workspace", string(name), "tokens", int64(l.Tokens), "held", int64(l.Held),
+			"open", int64(l.Open), "reserve", int64(l.Reserve), "after_ms", l.After, "life", d.Holder.Life)
 	}
 	for name, s := range answer.Stands {
 		p.log.Debug("draw", "workspace", string(name), "issued", int64(s.Issued), "free", int64(s.Free),
--- a/pkg/purse/book.go
+++ b/pkg/purse/book.go
@@ -43,6 +43,8 @@
 	Returned poplar.Tokens `json:"back,omitempty"`
 	// Spent is the cumulative number of tokens used.
 	Spent poplar.Tokens `json:"used,omitempty"`
+	// Open is what running requests have reserved.
+	Open poplar.Tokens `json:"open,omitempty"`
 	// Loans is what the router borrowed from others, less what it lent.
 	Loans poplar.Tokens `json:"loans,omitempty"`
 	// Reserve is the part of what is held that the router leaves alone until a
@@ -110,7 +112,19 @@
 	// At is the time of the log, in milliseconds, at which the draw arrived.
 	At int64 `json:"at"`
 	// Lost is, for the first draw of a life, what the life before took with it.
-	Lost map[poplar.Workspace]poplar.Tokens `json:"lost,omitempty"`
+	Lost map[poplar.Workspace]Loss `json:"lost,omitempty"`
+}
+
+// Loss is what a life of a router took with it of one workspace.
+type Loss struct {
+	// Tokens is what is lost of the Held ones, Open the part of those that requests
+	// had reserved, Reserve the part that was locked at first, and After the time
+	// for which it may have been unlocked, in milliseconds.
+	Tokens  poplar.Tokens `json:"gone"`
+	Held    poplar.Tokens `json:"held"`
+	Open    poplar.Tokens `json:"open"`
+	Reserve poplar.Tokens `json:"reserve"`
+	After   int64         `json:"after"`
 }
 
 // Account is what a router holds of one workspace.
@@ -120,6 +134,8 @@
 	Spent    poplar.Tokens `json:"used,omitempty"`
 	// Held is what the router had at its last draw, with what that brought.
 	Held poplar.Tokens `json:"held,omitempty"`
+	// Open is the part of Held that requests had reserved.
+	Open poplar.Tokens `json:"open,omitempty"`
 	// Reserve, Heard and From are those of the last draw that named the workspace.
 	Reserve poplar.Tokens `json:"reserve,omitempty"`
 	Heard   int64         `json:"heard,omitempty"`
@@ -217,19 +233,20 @@
 // begin starts a life of a router. What the life before held is written off, but
 // for the part of its reserve that it had no time to use. It returns what is
 // lost beside what was reported as spent.
-func (b *Book) begin(d Draw, at int64) map[poplar.Workspace]poplar.Tokens {
-	lost := map[poplar.Workspace]poplar.Tokens{}
+func (b *Book) begin(d Draw, at int64) map[poplar.Workspace]Loss {
+	lost := map[poplar.Workspace]Loss{}
 	for name, budget := range b.Budgets {
 		a := budget.Accounts[d.Holder.Name]
 		if a == nil {
 			continue
 		}
-		intact := locked(a.Reserve, a.mostAge(d, at))
+		age := a.mostAge(d, at)
+		intact := locked(a.Reserve, age)
 		budget.Closed += a.Issued - a.Returned - intact
 		budget.Closing += a.Spent
 		delete(budget.Accounts, d.Holder.Name)
 		if gone := a.Held - intact; gone > 0 {
-			lost[name] = gone
+			lost[name] = Loss{Tokens: gone, Held: a.Held, Open: a.Open, Reserve: a.Reserve, After: age.Milliseconds()}
 		}
 	}
 	b.Routers[d.Holder.Name] = &Router{Life: d.Holder.Life}
@@ -256,7 +273,7 @@
 	a.Returned = max(a.Returned, min(w.Returned, a.Issued))
 	a.Spent = max(a.Spent, w.Spent)
 	a.Reserve = min(max(w.Reserve, 0), a.Issued-a.Returned)
-	a.Heard, a.From = d.Heard, d.From
+	a.Heard, a.From, a.Open = d.Heard, d.From, w.Open
 	if w.Issued == a.Issued {
 		a.Issued += u.share(w, routers)
 	}
--- a/pkg/purse/wallet.go
+++ b/pkg/purse/wallet.go
@@ -306,7 +306,7 @@
 	d := w.next(now)
 	for name, p := range w.purse {
 		p.returned += max(0, min(p.held()-p.open, p.issued-p.returned))
-		d.Wants[name] = Want{Issued: p.issued, Returned: p.returned, Spent: p.spent, Loans: p.borrowed - p.lent}
+		d.Wants[name] = Want{Issued: p.issued, Returned: p.returned, Spent: p.spent, Open: p.open, Loans: p.borrowed - p.lent}
 	}
 	return d
 }
@@ -353,7 +353,7 @@
 	}
 	target := max(have-need-surplus, 0)
 	w := Want{
-		Issued: p.issued, Returned: p.returned, Spent: p.spent, Loans: p.borrowed - p.lent, Reserve: target,
+		Issued: p.issued, Returned: p.returned, Spent: p.spent, Open: p.open, Loans: p.borrowed - p.lent, Reserve: target,
 		Least: max(p.waits-have, 0),
 		Most:  max(need+reserve-have, 0),
 	}
