--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -159,7 +159,13 @@
 	}
 	x.p.count(x.target, x.start)
 	cost := x.env.Cost()
-	if x.holder == nil || !x.holder.Bound || cost <= 0 {
+	if x.holder == nil || !x.holder.Bound {
+		return nil
+	}
+	if cost <= 0 {
+		if x.route.Sticky {
+			return poplar.Failf(poplar.StepParse, poplar.CodeInvalid, "a prompt without a size cannot be reserved").Ran(poplar.RunNo)
+		}
 		return nil
 	}
 	if err := x.p.reserve(x.ctx, x.holder.Name, cost, x.route.Aim, x.until); err != nil {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -341,6 +341,22 @@
 	assert.Equal(t, len(r.arrivals()), 0)
 }
 
+// TestPromptsWithoutASizeAreRefused sends a prompt of a workspace with a budget that
+// does not say how many tokens it may use.
+func TestPromptsWithoutASizeAreRefused(t *testing.T) {
+	r := newRig(t, script{"a": {"stream 6"}})
+	next := testPlan()
+	next.Revision = 2
+	for i := range next.Routes {
+		next.Routes[i].Sticky = true
+	}
+	r.proxy.enact(next)
+	assert.Equal(t, r.call(t.Context(), http.MethodPost, "stream", "p").status, http.StatusBadRequest)
+	assert.Equal(t, r.call(t.Context(), http.MethodPost, "stream", "p", "Prompt", "0").status, http.StatusBadRequest)
+	assert.Equal(t, len(r.arrivals()), 0)
+	assert.Equal(t, r.call(t.Context(), http.MethodPost, "stream", "k").status, http.StatusOK, "a workspace without a budget needs none")
+}
+
 // TestOnlyDeliveredTokensAreCharged gives the wallet tokens and breaks a stream
 // off after two events of two tokens.
 func TestOnlyDeliveredTokensAreCharged(t *testing.T) {
