--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -167,7 +167,8 @@
 		// of reach.
 		wait, most = firstWait, firstWait+reserveLimit
 	}
-	limit := time.Now().Add(most)
+	patience := time.Duration(tokenPart * float64(aim))
+	limit := time.Now().Add(max(most, patience))
 	if limit.After(until) {
 		limit = until
 	}
@@ -177,7 +178,7 @@
 		return nil
 	}
 	back := time.Now().Add(drawPeriod)
-	for patient := time.Now().Add(time.Duration(tokenPart * float64(aim))); ; {
+	for end := time.Now().Add(patience); ; {
 		ok, soon := p.borrow(ctx, w, tokens)
 		if ok {
 			return nil
@@ -189,7 +190,7 @@
 		if known {
 			back = ripe
 		}
-		if !known || ripe.After(patient) || !pause(ctx, max(time.Until(ripe), loanRound)) {
+		if !known || ripe.After(end) || !pause(ctx, max(time.Until(ripe), loanRound)) {
 			break
 		}
 	}
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"hash/fnv"
-	"io"
 	"sync"
 	"time"
 
@@ -70,7 +69,7 @@
 		var length [4]byte
 		binary.LittleEndian.PutUint32(length[:], uint32(len(part)))
 		h.Write(length[:])
-		io.WriteString(h, part)
+		h.Write([]byte(part))
 	}
 	h.Write(x.body)
 	return poison.Print(h.Sum64())
