--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -331,7 +331,8 @@
 	}
 }
 
-// announce wakes those who wait for the roster or for records of crashes. The caller holds the lock.
+// announce wakes those who wait for the roster or for records of crashes. The
+// caller holds the lock.
 func (c *Core) announce() {
 	close(c.changed)
 	c.changed = make(chan struct{})
