Tell of a cleared suspect once, and hash requests outside the lock

A suspect's record was sent to all control daemons, and by them to all routers, at each later whole answer of the same request, for minutes: a common lookup beside a crash would have been told of with every call. It is told only while something stands against it (the test's last line fails without the change). Prints were computed under the lock that all requests share.

--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -113,7 +113,7 @@
 		s.take(seen)
 	}
 	if len(seen.Records) > 0 {
-		p.suspects.learn(seen.Records, time.Now())
+		p.suspects.learn(seen.Records)
 	}
 	s.last = core.Watch{Life: seen.Life, Roster: seen.Roster, Poison: seen.Poison}
 	if seen.Revision > w.Revision {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -38,7 +38,7 @@
 	freshTime = 3 * time.Second
 	// idlePeriod is the time between two looks whether requests are open.
 	idlePeriod = 20 * time.Millisecond
-	// sweepPeriod is the time between two looks at idle connections.
+	// sweepPeriod is the time between two looks at idle connections and suspects.
 	sweepPeriod = time.Second
 )
 
@@ -206,12 +206,13 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// sweepLoop closes idle connections.
+// sweepLoop closes idle connections and forgets old suspects.
 func (p *Proxy) sweepLoop() { loops.Tick(p.ctx, sweepPeriod, nil, p.sweep) }
 
 // sweep closes idle connections that are old, or lead to upstreams that take no
-// new work.
+// new work, and forgets old suspects.
 func (p *Proxy) sweep(context.Context) {
+	p.suspects.sweep(time.Now())
 	known := map[string]bool{}
 	for _, group := range p.view.Load().services {
 		for _, u := range group {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -250,7 +250,7 @@
 			x.p.suspects.broke(u, x.print(), time.Now())
 		}
 	case resultDone:
-		x.p.tell(x.p.suspects.finished(x, time.Now()))
+		x.clear()
 	}
 	if out != resultDone {
 		x.p.log.Info("attempt", "id", x.env.ID, "upstream", string(u.name), "result", resultNames[out], "reused", conn.Reused(),
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -75,15 +75,20 @@
 	return poison.Print(h.Sum64())
 }
 
-// refused reports whether the request crashed upstreams, and until when it is
-// not run. The print is computed only while anything is suspect.
-func (s *suspects) refused(x *exchange) (time.Time, bool) {
+// any reports whether a request may be suspect, so that prints are computed only
+// then.
+func (s *suspects) any() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.book.Len() == 0 {
-		return time.Time{}, false
-	}
-	verdict, until := s.book.Check(x.print(), x.start)
+	return s.book.Len() > 0
+}
+
+// refused reports whether a request crashed upstreams, and until when it is not
+// run.
+func (s *suspects) refused(p poison.Print, now time.Time) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	verdict, until := s.book.Check(p, now)
 	return until, verdict == poison.Refused
 }
 
@@ -119,24 +124,31 @@
 	return s.book.Crashed(u.name, uint64(u.born), prints, now)
 }
 
-// finished clears a request that ran to its end.
-func (s *suspects) finished(x *exchange, now time.Time) []poison.Record {
+// finished clears a request that ran to its end, and returns the record to tell if
+// anything stood against it.
+func (s *suspects) finished(p poison.Print, now time.Time) []poison.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.book.Len() == 0 {
+	if verdict, _ := s.book.Check(p, now); verdict == poison.Clean {
 		return nil
 	}
-	if r, known := s.book.Finished(x.print(), true, now); known {
+	if r, known := s.book.Finished(p, true, now); known {
 		return []poison.Record{r}
 	}
 	return nil
 }
 
 // learn takes the records of other routers.
-func (s *suspects) learn(records []poison.Record, now time.Time) {
+func (s *suspects) learn(records []poison.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.book.Learn(records)
+}
+
+// sweep forgets the records whose time is over.
+func (s *suspects) sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.book.Sweep(now)
 }
 
@@ -192,9 +204,19 @@
 
 // checkPoison refuses a request that crashed upstreams before.
 func (x *exchange) checkPoison() *poplar.Error {
-	until, refused := x.p.suspects.refused(x)
+	if !x.p.suspects.any() {
+		return nil
+	}
+	until, refused := x.p.suspects.refused(x.print(), x.start)
 	if !refused {
 		return nil
 	}
 	return poplar.Failf(poplar.StepAdmit, poplar.CodePoison, "the request crashed upstreams before").Ran(poplar.RunNo).After(until)
 }
+
+// clear takes the suspicion off a request that ran to its end.
+func (x *exchange) clear() {
+	if x.p.suspects.any() {
+		x.p.tell(x.p.suspects.finished(x.print(), time.Now()))
+	}
+}
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -66,6 +66,9 @@
 		}
 		time.Sleep(2 * time.Millisecond) // records are ordered by time
 	}
+	assert.Equal(t, len(r.proxy.suspects.unsent()), 4, "two crashes, each cleared once")
+	assert.Equal(t, r.call(t.Context(), http.MethodPost, "unsafe", "k").status, http.StatusOK)
+	assert.Equal(t, len(r.proxy.suspects.unsent()), 0, "nothing stood against it any more")
 }
 
 // TestRoutersShareSuspects has one router learn from another what crashed.
@@ -76,7 +79,7 @@
 	}
 	one.restart("a")
 	other.restart("b")
-	other.proxy.suspects.learn(one.proxy.suspects.unsent(), time.Now())
+	other.proxy.suspects.learn(one.proxy.suspects.unsent())
 	got := other.call(t.Context(), http.MethodPost, "unsafe", "k")
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(other.arrivals()), 1)
