Choose the home of a prompt by its last shared part

Cause: the home was that of the longest shared part. The parts at the beginning of prompts are shared by far more requests: 4 to 32 different ones carry the traffic of a kind, so that a few of 140 or 256 engines got most of it. Change: the part before the request's own one decides, which includes all before it in the cache. The whole choice moves from the exchange to place.Choose, which a test can play. A prompt is long by the tokens that its home has not cached.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -6,7 +6,6 @@
 	"hash/maphash"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -140,86 +139,20 @@
 	now := time.Now()
 	candidates := make([]place.Candidate, len(group))
 	longPrompt := latest.longPrompt[x.service]
-	long := place.IsLongPrompt(float64(x.env.Prompt))
-	penalties := x.homePenalties(group, longPrompt)
 	maxOpen := latest.maxConnections(x.service)
+	prompt := place.Prompt{Tokens: x.env.Prompt, Parts: x.env.Parts}
 	for i, u := range group {
-		candidates[i] = u.candidate(x.env.Parts, x.env.Prompt, x.p.settings.Domain, now)
+		candidates[i] = u.candidate(prompt, x.p.settings.Domain, now)
 		candidates[i].Excluded = candidates[i].Excluded || x.tried[u] || u.atConnLimit(maxOpen)
-		candidates[i].Uncached += penalties[i]
-		candidates[i].LengthMismatch = x.env.Prompt > 0 && longPrompt[u.name] != long
+		candidates[i].LongPrompts = longPrompt[u.name]
 	}
-	median := medianFailureRatio(candidates)
-	for i := range candidates {
-		candidates[i].FailureRatio = max(0, candidates[i].FailureRatio-median)
-	}
-	i := x.p.model.Pick(candidates, maphash.String(hashSeed, x.env.ID))
+	i := x.p.model.Choose(prompt, candidates, maphash.String(hashSeed, x.env.ID))
 	if i < 0 {
 		return nil
 	}
 	return group[i]
 }
 
-// medianFailureRatio returns the median of the candidates' failure ratios, which
-// is taken as the usual ratio of the service.
-func medianFailureRatio(candidates []place.Candidate) float64 {
-	if len(candidates) == 0 {
-		return 0
-	}
-	ratios := make([]float64, len(candidates))
-	for i := range candidates {
-		ratios[i] = candidates[i].FailureRatio
-	}
-	slices.Sort(ratios)
-	return ratios[len(ratios)/2]
-}
-
-// A prompt part that is recomputed costs the upstream more than the time of this
-// request, because it evicts other parts from the cache. The penalty for it is
-// recomputeWeight times its tokens, but at most its tokens plus maxExtraTokens.
-const (
-	recomputeWeight = 3.0
-	maxExtraTokens  = 2400.0
-)
-
-// homePenalties returns the number of tokens to add to the cost of each upstream
-// of the group. The home of a prompt part is the upstream that is meant to cache
-// it; all routers derive the same home from the names of the part and of the
-// upstreams. An upstream that is not a home of the prompt's longest shared part
-// gets a penalty, see place.HomeRanks.
-func (x *exchange) homePenalties(group []*upstream, longPrompt map[poplar.Upstream]bool) []float64 {
-	penalties := make([]float64, len(group))
-	part, ok := x.longestSharedPart()
-	if !ok {
-		return penalties
-	}
-	homes := make([]place.HomeCandidate, len(group))
-	for i, u := range group {
-		homes[i] = place.HomeCandidate{Upstream: u.name, LongPrompts: longPrompt[u.name], Usable: u.usable()}
-	}
-	tokens := float64(part.Tokens)
-	penalty := min(recomputeWeight*tokens, tokens+maxExtraTokens)
-	for i, rank := range place.HomeRanks(part.Name, homes) {
-		penalties[i] = float64(rank) * penalty
-	}
-	return penalties
-}
-
-// longestSharedPart returns the longest of the prompt parts that other requests
-// may share, which are all but the last. It returns false if there is none.
-func (x *exchange) longestSharedPart() (poplar.Part, bool) {
-	if len(x.env.Parts) < 2 {
-		return poplar.Part{}, false
-	}
-	best := x.env.Parts[0]
-	for _, part := range x.env.Parts[:len(x.env.Parts)-1] {
-		if part.Tokens > best.Tokens {
-			best = part
-		}
-	}
-	return best, true
-}
-
 // try makes one attempt at u.
 func (x *exchange) try(u *upstream) result {
 	now := time.Now()
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -150,14 +150,16 @@
 const priorOutcomes = 2
 
 // candidate returns the state of the upstream as input for the placement.
-func (u *upstream) candidate(parts []poplar.Part, prompt poplar.Tokens, domain poplar.Domain, now time.Time) place.Candidate {
+func (u *upstream) candidate(prompt place.Prompt, domain poplar.Domain, now time.Time) place.Candidate {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	c := place.Candidate{
+		Upstream:       u.name,
+		Usable:         u.usable(),
 		Running:        float64(u.running),
 		Slots:          float64(u.slots),
 		PendingPrefill: float64(u.uncached),
-		Uncached:       float64(prompt - u.parts.cachedTokens(parts)),
+		Uncached:       float64(prompt.Tokens - u.parts.cachedTokens(prompt.Parts)),
 		Local:          u.domain == domain,
 		Suspect:        u.silent.Load() || now.Before(u.backoffUntil),
 		Excluded:       !u.acceptsWork(),
--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -47,6 +47,14 @@
 
 // Candidate is one upstream as this router sees it.
 type Candidate struct {
+	// Upstream is the name of the upstream, by which all routers agree on homes.
+	Upstream poplar.Upstream
+	// Usable is true for an upstream that accepts work and is not silent. Only such
+	// an upstream is the home of a prompt part, at which the part is cached.
+	Usable bool
+	// LongPrompts is true for an upstream that is preferred for long prompts. Short
+	// and long prompts have separate homes.
+	LongPrompts bool
 	// Running and Waiting are the request counts that the upstream reported,
 	// updated with the requests that this router has sent since.
 	Running, Waiting float64
@@ -56,11 +64,11 @@
 	// the upstream and that are not prefilled yet. Uncached is the number of
 	// prompt tokens of the current request that are not cached there.
 	PendingPrefill, Uncached float64
-	// FailureRatio is the ratio of recent responses that failed, less the usual
-	// ratio of the service.
+	// FailureRatio is the ratio of recent responses that failed. Choose takes the
+	// usual ratio of the service off.
 	FailureRatio float64
 	// LengthMismatch is true if the upstream is preferred for long prompts and
-	// the prompt is short, or the reverse; see IsLongPrompt.
+	// the prompt is short, or the reverse; see IsLongPrompt. It is set by Choose.
 	LengthMismatch bool
 	// Local is true for an upstream in the router's own failure domain.
 	Local bool
@@ -144,17 +152,6 @@
 	return preferred
 }
 
-// HomeCandidate is an upstream that is considered as the home of a prompt part.
-// The home of a part is the upstream at which the part is cached.
-type HomeCandidate struct {
-	Upstream poplar.Upstream
-	// LongPrompts is true for an upstream preferred for long prompts. Short and
-	// long prompts have separate homes.
-	LongPrompts bool
-	// Usable is true for an upstream that accepts work.
-	Usable bool
-}
-
 // maxHomes is the number of upstreams at which a part is cached. Each further
 // home prefills the part once more, which pays only when the first home is
 // busy.
@@ -164,22 +161,22 @@
 // of the same length class (long or short prompts) that precede it as homes of
 // the part, at most maxHomes. It runs for every request, so it hashes each
 // upstream only once.
-func HomeRanks(part string, list []HomeCandidate) []int {
+func HomeRanks(part string, list []Candidate) []int {
 	weights := make([]uint64, len(list))
 	var heaviest [2][maxHomes]uint64 // the highest weights of usable upstreams, by length class
-	for i, h := range list {
-		weights[i] = RendezvousWeight(part, h.Upstream)
-		if !h.Usable {
+	for i := range list {
+		weights[i] = RendezvousWeight(part, list[i].Upstream)
+		if !list[i].Usable {
 			continue
 		}
-		top := &heaviest[lengthClass(h)]
+		top := &heaviest[list[i].lengthClass()]
 		for n, rest := 0, weights[i]; n < maxHomes; n++ {
 			top[n], rest = max(top[n], rest), min(top[n], rest)
 		}
 	}
 	preceding := make([]int, len(list))
-	for i, h := range list {
-		for _, weight := range heaviest[lengthClass(h)] {
+	for i := range list {
+		for _, weight := range heaviest[list[i].lengthClass()] {
 			if weight > weights[i] {
 				preceding[i]++
 			}
@@ -188,8 +185,8 @@
 	return preceding
 }
 
-func lengthClass(h HomeCandidate) int {
-	if h.LongPrompts {
+func (c *Candidate) lengthClass() int {
+	if c.LongPrompts {
 		return 1
 	}
 	return 0
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -73,9 +73,9 @@
 func TestHomeRanksMatchesPairwiseCount(t *testing.T) {
 	rng := rand.New(rand.NewPCG(3, 4))
 	for size := range 12 {
-		list := make([]HomeCandidate, size)
+		list := make([]Candidate, size)
 		for i, name := range upstreamNames(size) {
-			list[i] = HomeCandidate{Upstream: name, LongPrompts: rng.IntN(3) == 0, Usable: rng.IntN(4) > 0}
+			list[i] = Candidate{Upstream: name, LongPrompts: rng.IntN(3) == 0, Usable: rng.IntN(4) > 0}
 		}
 		for _, part := range []string{"a1", "b2", "c3"} {
 			want := make([]int, size)
