Give up a stalled attempt only if a retry may replace it

Cause: a resumable stream without an event for 1.5 s was cancelled first, and only then was the retry limit asked. When it refused, the caller's connection was closed in the middle of an answer that the engine was still making. The same happened when no other upstream could be chosen. Change: the retry is counted before the attempt is cancelled, and without one the attempt goes on. A stream that broke off by itself waits up to 1.5 s for an upstream and a retry before the answer is given up.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -35,6 +35,11 @@
 	// minStallTimeout.
 	stallTimeoutFactor = 3
 	minStallTimeout    = 1500 * time.Millisecond
+	// resumeWait is how long an interrupted stream waits in total for an upstream
+	// to resume it, with resumeRetryDelay between two tries. Callers abandon a
+	// stream after a gap of two seconds or more.
+	resumeWait       = 1500 * time.Millisecond
+	resumeRetryDelay = 100 * time.Millisecond
 	// maxResponseBody is the maximum size, in bytes, of a response that is
 	// buffered until it is complete.
 	maxResponseBody = 8 << 20
@@ -69,11 +74,15 @@
 	refusals := 0
 	for {
 		u := x.pick()
-		if u == nil {
-			return x.exhausted("no upstream available")
+		reason := "no upstream available"
+		if u != nil && x.sends > 0 && !x.mayRetry(time.Now()) {
+			u, reason = nil, "retry limit reached"
 		}
-		if x.sends > 0 && !x.p.takeRetry(x.service, time.Now()) {
-			return x.exhausted("retry limit reached")
+		if u == nil {
+			if x.awaitResume() {
+				continue
+			}
+			return x.exhausted(reason)
 		}
 		x.tried[u] = true
 		x.upstream = u
@@ -98,6 +107,31 @@
 	}
 }
 
+// mayRetry reports whether the request may be sent once more. The retry that
+// replaces a stalled attempt was counted before that attempt was given up.
+func (x *exchange) mayRetry(now time.Time) bool {
+	if x.retryTaken {
+		x.retryTaken = false
+		return true
+	}
+	return x.p.takeRetry(x.service, now)
+}
+
+// awaitResume waits a little before a resumable stream that was begun is tried
+// again, and reports whether it may be. Without an upstream or a retry for it
+// now, the answer would otherwise break off in the middle. The load of other
+// requests decides over both, and changes within a second.
+func (x *exchange) awaitResume() bool {
+	if !x.headerWritten || x.route.Kind != plan.KindResumable || x.runs >= x.route.MaxAttempts {
+		return false
+	}
+	now := time.Now()
+	if x.resumeBy.IsZero() {
+		x.resumeBy = now.Add(resumeWait)
+	}
+	return now.Before(x.resumeBy) && sleep(x.ctx, resumeRetryDelay)
+}
+
 // exhausted ends a request that cannot be retried. It delivers the fallback
 // response if there is one, and otherwise returns an error.
 func (x *exchange) exhausted(reason string) *poplar.Error {
@@ -182,12 +216,13 @@
 	defer a.noteFirstByte()
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	a.stall = newStallTimer(cancel, x.stallTimeout())
+	a.stall = newStallTimer(x.stallTimeout(), func() bool { return x.replaceStalled(cancel) })
 	defer a.stall.stop()
 	a.call = x.p.conns.Send(ctx, conn, x.upstreamRequest(u))
 	complete := false
 	defer func() { a.call.Finish(complete) }()
 	outcome := a.receive()
+	x.retryTaken = a.stall.stop()
 	complete = a.complete
 	if outcome == resultBroken && x.ctx.Err() != nil {
 		return resultEnded
@@ -195,7 +230,7 @@
 	switch outcome {
 	case resultBroken:
 		u.attemptFailed(time.Now())
-		if !a.stall.fired() {
+		if !x.retryTaken {
 			x.p.suspects.recordBroken(u, x.fingerprint(), time.Now())
 		}
 	case resultDone:
@@ -231,6 +266,18 @@
 	return u.parts.cachedTokens(x.env.Parts)
 }
 
+// replaceStalled cancels an attempt that has stalled, if the request may be sent
+// to another upstream instead. Otherwise the attempt goes on, since it may still
+// end well. It is called while the attempt waits for its upstream, and reads only
+// what does not change meanwhile.
+func (x *exchange) replaceStalled(cancel context.CancelFunc) bool {
+	if x.pick() == nil || !x.p.takeRetry(x.service, time.Now()) {
+		return false
+	}
+	cancel()
+	return true
+}
+
 // stallTimeout returns the time without an event, or for a safe request without
 // a complete response, after which the attempt is given up. It returns 0, for
 // no limit, if the request cannot be sent to another upstream.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -50,9 +50,11 @@
 	reserved      poplar.Tokens
 	used          poplar.Tokens
 	tried         map[*upstream]bool
-	sends         int  // invariant: number of times that the request may have reached an upstream
-	runs          int  // invariant: number of times that an upstream may have run it
-	headerWritten bool // invariant: true once the response header was written
+	sends         int       // invariant: number of times that the request may have reached an upstream
+	runs          int       // invariant: number of times that an upstream may have run it
+	retryTaken    bool      // invariant: true if the next retry is already counted
+	resumeBy      time.Time // invariant: end of the wait for a resume, or zero before the first wait
+	headerWritten bool      // invariant: true once the response header was written
 	firstByteAt   time.Time
 	events        int
 	lastEventID   string    // invariant: id of the last event that was delivered
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -145,6 +145,8 @@
 //   - reset: the connection is closed without a response
 //   - mute: no response until the request is cancelled
 //   - unsealed: a response without a seal
+//   - endless: the first lines of an event that has no end
+//   - pause: a complete stream with a pause that is longer than the stall timeout
 //   - stream N: the events up to N of 6; the response breaks off after event N,
 //     or is complete if N is 6
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -177,6 +179,21 @@
 	case "unsealed":
 		w.Header().Del("Seal")
 		fmt.Fprint(w, "nothing")
+	case "endless":
+		w.Header().Set("Content-Type", "text/event-stream")
+		line := []byte(strings.Repeat("data: x\n", 512))
+		for _, err := w.Write(line); err == nil; _, err = w.Write(line) {
+		}
+		u.harness.cancelled <- r.Header.Get("Id")
+	case "pause":
+		fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-r.Context().Done():
+			u.harness.cancelled <- r.Header.Get("Id")
+		case <-time.After(minStallTimeout + 300*time.Millisecond):
+			fmt.Fprint(w, "id: 2\ndata: 2\n\n")
+		}
 	case "stream":
 		u.stream(w, r, arg)
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -3,12 +3,11 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"poplarbend.example/poplar/pkg/plan"
@@ -149,36 +148,55 @@
 	return "", false
 }
 
-// stallTimer cancels an attempt if reset is not called within the timeout.
+// stallTimer replaces an attempt if reset is not called within the timeout.
 type stallTimer struct {
-	timer   *time.Timer // invariant: nil without a timeout
 	timeout time.Duration
-	expired atomic.Bool
+	replace func() bool // reports whether the attempt was cancelled
+
+	mu      sync.Mutex
+	timer   *time.Timer // invariant: guarded by mu; nil without a timeout and after stop
+	expired bool        // invariant: guarded by mu; true once the attempt was cancelled
 }
 
-func newStallTimer(cancel context.CancelFunc, timeout time.Duration) *stallTimer {
-	s := &stallTimer{timeout: timeout}
+// newStallTimer returns a timer that calls replace after each timeout, until it
+// returns true.
+func newStallTimer(timeout time.Duration, replace func() bool) *stallTimer {
+	s := &stallTimer{timeout: timeout, replace: replace}
 	if timeout > 0 {
-		s.timer = time.AfterFunc(timeout, func() {
-			s.expired.Store(true)
-			cancel()
-		})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.timer = time.AfterFunc(timeout, s.expire)
 	}
 	return s
 }
 
+func (s *stallTimer) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer == nil || s.expired {
+		return
+	}
+	if s.expired = s.replace(); !s.expired {
+		s.timer.Reset(s.timeout)
+	}
+}
+
 // reset restarts the timeout.
 func (s *stallTimer) reset() {
-	if s.timer != nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil && !s.expired {
 		s.timer.Reset(s.timeout)
 	}
 }
 
-// fired reports whether the timer has cancelled the attempt.
-func (s *stallTimer) fired() bool { return s.expired.Load() }
-
-func (s *stallTimer) stop() {
+// stop ends the timer and reports whether it has cancelled the attempt.
+func (s *stallTimer) stop() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.timer != nil {
 		s.timer.Stop()
+		s.timer = nil
 	}
+	return s.expired
 }
