Bound answers of upstreams that have no end

Cause: an upstream in trouble may send bytes that are no answer until the caller closes. The head of an answer had no limit, so a router's memory grew with it; the body of a refusal or of a stray answer was read to its end, which held the caller until its deadline; an event of short lines had no limit either; and closing a body read it to its end. Change: 64 KiB for a head and for a body that is dropped, 20 ms for the body of a refusal, the limit of an event holds for all its lines, and bodies are not closed: the connection is, unless the whole answer was read. Chunk sizes and trailers were bounded by net/http already.

--- a/internal/conns/call.go
+++ b/internal/conns/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,10 +27,37 @@
 
 // errors of an exchange.
 var (
-	errNoHead  = errors.New("no head of an answer")
-	errStrange = errors.New("answers to other requests")
+	errNoHead   = errors.New("no head of an answer")
+	errLongHead = errors.New("the head of an answer exceeds the size limit")
+	errLongBody = errors.New("the body of an answer that is dropped exceeds the size limit")
+	errStrange  = errors.New("answers to other requests")
 )
 
+// Bounds of what an upstream may send, in bytes. One in trouble may send without
+// end.
+const (
+	maxHead    = 64 << 10
+	maxDropped = 64 << 10 // of a body that is read only to use the connection again
+)
+
+// headReader bounds the bytes that are read for the head of an answer.
+type headReader struct {
+	conn net.Conn
+	left int // invariant: bytes that may still be read, or negative without a limit
+}
+
+func (r *headReader) Read(p []byte) (int, error) {
+	if r.left < 0 {
+		return r.conn.Read(p)
+	}
+	if r.left == 0 {
+		return 0, errLongHead
+	}
+	n, err := r.conn.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // Call is one request on its way. It is not safe for concurrent use, but for
 // Abort.
 type Call struct {
@@ -86,6 +114,8 @@
 // Answer reads the head of the answer. Answers that mine does not accept as
 // those to this request are skipped.
 func (k *Call) Answer(method string, mine func(*http.Response) bool) (*http.Response, error) {
+	k.conn.head.left = maxHead
+	defer func() { k.conn.head.left = -1 }()
 	for range maxStrange + 1 {
 		resp, err := http.ReadResponse(k.conn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -98,13 +128,29 @@
 			k.resp = resp
 			return resp, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
+		if err := drop(resp.Body); err != nil || resp.Close {
 			return nil, fmt.Errorf("%w: %w", errStrange, err)
 		}
 	}
 	return nil, errStrange
 }
 
+// Drop reads the rest of the answer's body, of which nothing is needed. It fails
+// when the body is long or does not end by limit.
+func (k *Call) Drop(limit time.Time) error {
+	timer := time.AfterFunc(time.Until(limit), k.Abort)
+	defer timer.Stop()
+	return drop(k.resp.Body)
+}
+
+func drop(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDropped+1))
+	if err == nil && n > maxDropped {
+		err = errLongBody
+	}
+	return err
+}
+
 // Finish ends the call. The connection is used again when the whole answer was
 // read and nothing speaks against it.
 func (k *Call) Finish(whole bool) {
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -37,7 +37,8 @@
 type Conn struct {
 	net.Conn
 	address string
-	reader  *bufio.Reader
+	head    *headReader
+	reader  *bufio.Reader // reads from head
 	reused  bool
 	until   time.Time // invariant: not used again after it
 }
@@ -85,7 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	head := &headReader{conn: raw, left: -1}
+	return &Conn{Conn: raw, address: address, head: head, reader: bufio.NewReaderSize(head, readBuffer)}, nil
 }
 
 func (p *Pool) take(address string, recent time.Time) *Conn {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -40,6 +40,9 @@
 	// stream after a gap of two seconds or more.
 	resumeWait       = 1500 * time.Millisecond
 	resumeRetryDelay = 100 * time.Millisecond
+	// refusalBodyTimeout limits the time for the body of a refusal, which nobody
+	// needs: without it the connection is closed.
+	refusalBodyTimeout = 20 * time.Millisecond
 	// maxResponseBody is the maximum size, in bytes, of a response that is
 	// buffered until it is complete.
 	maxResponseBody = 8 << 20
@@ -348,7 +351,7 @@
 func (a *attempt) receive() result {
 	x := a.x
 	dialect := x.p.settings.Dialect
-	resp, err := a.call.Answer(x.r.Method, func(resp *http.Response) bool {
+	resp, err := a.call.Answer(x.r.Method, func(resp *http.Response) bool { //nolint:bodyclose // see below
 		id := dialect.Head(resp).ID
 		return id == "" || id == x.env.ID
 	})
@@ -356,7 +359,8 @@
 		a.err = err
 		return resultBroken
 	}
-	defer resp.Body.Close()
+	// The body is not closed, since Close reads it to its end, which may never
+	// come. The connection is closed unless the whole body was read.
 	head := dialect.Head(resp)
 	good := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
 	a.u.headReceived(head, resp.StatusCode >= http.StatusInternalServerError && !head.NotRun, time.Now())
@@ -366,7 +370,7 @@
 		fallthrough
 	case head.NotRun:
 		x.runs--
-		_, a.err = io.Copy(io.Discard, resp.Body)
+		a.err = a.call.Drop(time.Now().Add(refusalBodyTimeout))
 		a.complete = a.err == nil
 		return resultRefused
 	case good && (!head.Sealed || resp.Header.Get("Content-Encoding") != ""):
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -120,15 +120,15 @@
 		for {
 			line, err := r.ReadSlice('\n')
 			buffer = append(buffer, line...)
+			if len(buffer) > maxEventSize {
+				return buffer, errEventTooLong
+			}
 			if err == nil {
 				break
 			}
 			if !errors.Is(err, bufio.ErrBufferFull) {
 				return buffer, err
 			}
-			if len(buffer) > maxEventSize {
-				return buffer, errEventTooLong
-			}
 		}
 		if line := bytes.TrimRight(buffer[start:], "\r\n"); len(line) == 0 {
 			return buffer, nil
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -63,3 +63,14 @@
 	assert.Equal(t, strings.Count(got.body, "data"), 6, "%q", got.body)
 	assert.DeepEqual(t, h.arrivals(), []string{"a", "b 3"})
 }
+
+// TestEndlessEventEndsTheAttempt plays an upstream whose event has no end: the
+// attempt ends long before the deadline, and the caller gets no whole answer.
+func TestEndlessEventEndsTheAttempt(t *testing.T) {
+	h := newHarness(t, script{"a": {"endless"}, "b": {"endless"}})
+	start := time.Now()
+	got := h.call(t.Context(), http.MethodPost, "stream", "k")
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Assert(t, time.Since(start) < testPlan().Routes[0].Timeout)
+	<-h.cancelled
+}
