Let routers and control daemons exchange only what has changed

Cause: each router watches each control daemon. Change: rosters are sent as the entries that changed, the list of routers when it changed, and changes that are not urgent are announced at most every 100 ms; the watchers of a router take turns to fetch a configuration. A control daemon that was lost sends its whole roster again. Answers say who leads the log. Routers and control daemons of the former build get and send what they did. Ruled out for now: two watches a router, which needs rosters that control daemons exchange, since each upstream announces itself to one of them only.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -74,14 +74,16 @@
 	replica  *replica
 	life     uint64 // invariant: differs after each start
 
-	mu       sync.Mutex
-	roster   *roster.Roster            // invariant: guarded by mu
-	changed  chan struct{}             // invariant: guarded by mu; closed at the next change of the roster
-	watchers map[poplar.Daemon]watcher // invariant: guarded by mu
-	poison   *poison.Registry          // invariant: guarded by mu
-	poisoned uint64                    // invariant: guarded by mu; grows with each change of poison
-	asked    []poplar.Daemon           // invariant: guarded by mu; whom to ask for the log
-	loops    loops.Runner
+	mu         sync.Mutex
+	roster     *roster.Roster            // invariant: guarded by mu
+	announced  uint64                    // invariant: guarded by mu; version of the roster that routers are told of
+	changed    chan struct{}             // invariant: guarded by mu; closed at the next announcement
+	watchers   map[poplar.Daemon]watcher // invariant: guarded by mu
+	routerList uint64                    // invariant: guarded by mu; grows with each change of the routers in watchers
+	poison     *poison.Registry          // invariant: guarded by mu
+	poisoned   uint64                    // invariant: guarded by mu; grows with each change of poison
+	asked      []poplar.Daemon           // invariant: guarded by mu; whom to ask for the log
+	loops      loops.Runner
 }
 
 // watcher is a router that watches this daemon.
@@ -108,12 +110,13 @@
 		watchers: map[poplar.Daemon]watcher{},
 		poison:   poison.NewRegistry(poison.DefaultSettings()),
 	}
+	c.announced = c.roster.Version()
 	c.asked = names(s.Seeds)
 	if err := c.open(); err != nil {
 		c.box.Close()
 		return nil, err
 	}
-	c.loops.Start(c.loop, c.loopOpen)
+	c.loops.Start(c.loop, c.loopOpen, c.loopAnnounce)
 	return c, nil
 }
 
@@ -316,9 +319,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.poison.Sweep(c.settings.Clock.Now())
-	if c.roster.Sweep(c.settings.Clock.Now()) {
-		c.announce()
-	}
+	c.roster.Sweep(c.settings.Clock.Now())
+}
+
+// announcePeriod is the longest time for which a new upstream is kept from the
+// routers. Upstreams that start together are then announced together.
+const announcePeriod = 100 * time.Millisecond
+
+// loopAnnounce tells routers of changes that are not urgent.
+func (c *Core) loopAnnounce(ctx context.Context) {
+	loops.Tick(ctx, announcePeriod, nil, func(context.Context) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.announced != c.roster.Version() {
+			c.announce()
+		}
+	})
 }
 
 // learn takes what a router knows of requests that crash upstreams.
@@ -334,13 +350,15 @@
 // announce wakes those who wait for the roster or for records of crashes. The
 // caller holds the lock.
 func (c *Core) announce() {
+	c.announced = c.roster.Version()
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
 // led reports whether the daemon leads the log or has heard its leader lately.
-func (c *Core) led() bool {
-	s := c.voter.Load().Status()
+func (c *Core) led() bool { return c.follows(c.voter.Load().Status()) }
+
+func (c *Core) follows(s voter.Status) bool {
 	switch s.Leader() {
 	case quorum.Member{}:
 		return false
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -237,6 +237,53 @@
 	assert.Equal(t, len(third.Records), 0, "nothing is new")
 }
 
+// TestWatchSendsChangesOnly announces many upstreams to a daemon that many routers
+// watch. A router that was told of them gets only the next change, and the list of
+// routers only when it has changed.
+func TestWatchSendsChangesOnly(t *testing.T) {
+	f := newFleet(t, 1)
+	c := f.cores[f.seeds[0]]
+	f.declare(f.seeds[0], 1, "one")
+	for i := range 50 {
+		assert.NilError(t, c.Hear(t.Context(), roster.Announcement{
+			Name: poplar.Upstream(fmt.Sprint("up", i)), Service: "s", Address: fmt.Sprint("127.0.0.1:", 1000+i),
+			State: roster.StateReady, StartedAt: 1, Sequence: 1,
+		}))
+	}
+	ask := func(from string, w Watch) WatchResponse {
+		t.Helper()
+		w.Address, w.Delta, w.Immediate = from, true, true
+		resp, err := c.watch(t.Context(), poplar.Daemon(from), w)
+		assert.NilError(t, err)
+		return resp
+	}
+	for i := range 20 {
+		ask(fmt.Sprint("r", i), Watch{})
+	}
+	first := ask("r0", Watch{})
+	assert.Equal(t, len(first.Entries), 50)
+	assert.Equal(t, len(first.Routers), 20)
+	next := Watch{Incarnation: first.Incarnation, Roster: first.Roster, Revision: first.Revision, Poison: first.Poison, RouterList: first.RouterList}
+	var second WatchResponse
+	f.await("the announcement of all upstreams", func() bool {
+		second = ask("r0", next)
+		next.Roster = second.Roster
+		return second.Roster == c.roster.Version()
+	})
+	assert.Equal(t, len(second.Routers), 0, "the list is known")
+	assert.NilError(t, c.Hear(t.Context(), roster.Announcement{Name: "up7", State: roster.StateRemoved, StartedAt: 1, Sequence: 2}))
+	third := ask("r0", next)
+	assert.Equal(t, len(third.Entries), 1)
+	assert.Assert(t, third.Delta)
+	assert.Equal(t, third.Entries[0].Name, poplar.Upstream("up7"))
+	ask("r20", Watch{})
+	assert.Equal(t, len(ask("r0", next).Routers), 21)
+	former, err := c.watch(t.Context(), "former", Watch{Incarnation: first.Incarnation, Roster: first.Roster, Immediate: true, Address: "former"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(former.Entries), 50, "a router that does not ask for changes gets all")
+	assert.Assert(t, !former.Delta && len(former.Routers) == 22)
+}
+
 // later announces while a watch is held.
 type later struct {
 	c      *Core
--- a/internal/core/proto.go
+++ b/internal/core/proto.go
@@ -39,6 +39,10 @@
 	Address string `json:"at,omitempty"`
 	// Immediate asks for an answer at once.
 	Immediate bool `json:"now,omitempty"`
+	// Delta is true if the router takes a list of the changed upstreams only.
+	Delta bool `json:"delta,omitempty"`
+	// RouterList is the version of the list of routers in the last answer.
+	RouterList uint64 `json:"fleet,omitempty"`
 }
 
 // WatchResponse answers a Watch.
@@ -46,17 +50,23 @@
 	Incarnation uint64          `json:"life"`
 	Revision    poplar.Revision `json:"number"`
 	Roster      uint64          `json:"roster"`
-	// Entries is set when Roster differs from the question.
+	// Entries is set when Roster differs from the question. It holds all
+	// upstreams or, with Delta, those that changed since the question's Roster.
 	Entries []roster.Entry `json:"list,omitempty"`
+	Delta   bool           `json:"delta,omitempty"`
 	// Records is set when Poison differs from the question.
 	Poison  uint64          `json:"poison,omitempty"`
 	Records []poison.Record `json:"records,omitempty"`
 	// ControlAddrs are the peer addresses of the control daemons.
 	ControlAddrs []string `json:"cores"`
-	// FollowsLog is true while the daemon is in contact with a leader of the log.
+	// FollowsLog is true while the daemon is in contact with a leader of the log,
+	// and Leads while it is the leader.
 	FollowsLog bool `json:"led"`
-	// Routers are the peer addresses of the routers that watch this daemon.
-	Routers []string `json:"routers"`
+	Leads      bool `json:"leads,omitempty"`
+	// Routers are the peer addresses of the routers that watch this daemon. They
+	// are set when the version of the list, RouterList, differs from the question.
+	Routers    []string `json:"routers"`
+	RouterList uint64   `json:"fleet,omitempty"`
 }
 
 // FetchResponse is the configuration in force at a control daemon.
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -6,6 +6,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/quorum"
 	"poplarbend.example/poplar/pkg/roster"
 	"poplarbend.example/poplar/pkg/wallet"
 )
@@ -51,18 +52,26 @@
 	held, config := c.replica.held()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	seen = WatchResponse{Incarnation: c.life, Revision: held.Revision, Roster: c.roster.Version(), Poison: c.poisoned}
-	if w.Incarnation != c.life || w.Roster != seen.Roster {
+	seen = WatchResponse{
+		Incarnation: c.life, Revision: held.Revision, Roster: c.announced, Poison: c.poisoned, RouterList: c.routerList,
+	}
+	switch {
+	case w.Incarnation != c.life || (w.Roster != seen.Roster && !w.Delta):
 		seen.Entries = c.roster.Entries()
+	case w.Roster != seen.Roster:
+		seen.Entries, seen.Delta = c.roster.EntriesSince(w.Roster), true
 	}
 	if w.Incarnation != c.life || w.Poison != seen.Poison {
 		seen.Records = c.poison.Records(mostRecords)
 	}
-	for _, r := range c.watchers {
-		seen.Routers = append(seen.Routers, r.address)
+	if w.Incarnation != c.life || w.RouterList != seen.RouterList {
+		for _, r := range c.watchers {
+			seen.Routers = append(seen.Routers, r.address)
+		}
 	}
-	seen.FollowsLog = c.led()
-	for _, m := range c.voter.Load().Status().Members().All() {
+	status := c.voter.Load().Status()
+	seen.FollowsLog, seen.Leads = c.follows(status), status.Role() == quorum.RoleLeader
+	for _, m := range status.Members().All() {
 		seen.ControlAddrs = append(seen.ControlAddrs, peer.Host(m.Name))
 	}
 	return seen, config, c.changed
@@ -76,10 +85,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.settings.Clock.Now()
+	if c.watchers[from].address != address {
+		c.routerList++
+	}
 	c.watchers[from] = watcher{address: address, at: now}
 	for name, r := range c.watchers {
 		if now.Sub(r.at) > routerTime {
 			delete(c.watchers, name)
+			c.routerList++
 		}
 	}
 }
@@ -161,7 +174,7 @@
 		return false, poplar.Failf(poplar.StepPeer, poplar.CodeUnreachable, "neither a leader nor a router is in reach")
 	}
 	changed := c.roster.Apply(n, c.settings.Clock.Now())
-	if changed {
+	if changed && n.State != roster.StateReady {
 		c.announce()
 	}
 	return changed, nil
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -103,6 +103,7 @@
 	union     *roster.Union       // invariant: guarded by watcherMu; merged rosters of the control daemons
 	watchers  map[string]*watcher // invariant: guarded by watcherMu; keyed by peer address
 	watcherMu sync.Mutex
+	fetchTurn chan struct{} // invariant: holds one value while a watcher fetches a configuration
 	ctx       context.Context
 	stop      context.CancelFunc
 	done      sync.WaitGroup
@@ -127,6 +128,7 @@
 		routers:      map[string]time.Time{},
 		union:        roster.NewUnion(),
 		watchers:     map[string]*watcher{},
+		fetchTurn:    make(chan struct{}, 1),
 	}
 	p.view.Store(&view{})
 	s.Vars.Func("belief", func() any { return p.status() })
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -19,6 +19,14 @@
 	routers    []string                                    // peer addresses of all routers, including this one
 }
 
+// revision returns the revision of the configuration, or 0 before the first one.
+func (v *view) revision() poplar.Revision {
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Plan().Revision
+}
+
 // connectionShare is the share of an upstream's connection limit that the
 // routers divide among themselves. The rest is for routers that were just
 // added.
@@ -51,7 +59,7 @@
 func (p *Proxy) applyPlan(next *plan.Plan) {
 	applied := false
 	p.updateView(func(v *view) {
-		if v.table != nil && v.table.Plan().Revision >= next.Revision {
+		if v.table != nil && v.revision() >= next.Revision {
 			return
 		}
 		v.table, applied = plan.NewTable(next), true
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -23,6 +23,10 @@
 	// polled.
 	removeAfter  = 40 * time.Second
 	fetchTimeout = 800 * time.Millisecond
+	// fetchTurnWait is how long a watcher waits while another one fetches a
+	// configuration. After that it fetches as well, since the other daemon may
+	// have stopped responding.
+	fetchTurnWait = 200 * time.Millisecond
 )
 
 // watcher polls one control daemon.
@@ -32,6 +36,8 @@
 	next        core.Watch // base of the next call: the versions in the last response
 	lastContact time.Time  // invariant: time of the last response, or the start of the watch
 	lost        bool       // invariant: true if the last call failed; written only by loop, with Proxy.watcherMu held
+	leads       bool       // invariant: true if the last response came from the leader of the log; written like lost
+	routers     []string   // the last list of routers that the daemon sent
 }
 
 // AddSeeds adds the addresses of control daemons and starts to watch them. Known
@@ -70,6 +76,19 @@
 	return addrs
 }
 
+// leaderAddr returns the address of the reachable control daemon that leads the
+// log, or "" if none is known.
+func (p *Proxy) leaderAddr() string {
+	p.watcherMu.Lock()
+	defer p.watcherMu.Unlock()
+	for a, w := range p.watchers {
+		if w.leads && !w.lost {
+			return a
+		}
+	}
+	return ""
+}
+
 // loop polls the control daemon until the router stops or the watch is removed.
 func (w *watcher) loop() {
 	for w.proxy.ctx.Err() == nil {
@@ -103,10 +122,9 @@
 	p := w.proxy
 	req := w.next
 	req.Address = p.settings.Address
+	req.Delta = true
 	req.Immediate = w.lost || req.Incarnation == 0
-	if v := p.view.Load(); v.table != nil {
-		req.Revision = v.table.Plan().Revision
-	}
+	req.Revision = p.view.Load().revision()
 	resp, err := peer.CallWithin[core.Watch, core.WatchResponse](p.ctx, watchTimeout, p.pool, peer.Seed(w.address), core.OpWatch, req)
 	if err != nil {
 		w.markLost(err)
@@ -119,7 +137,7 @@
 	if len(resp.Records) > 0 {
 		p.suspects.learn(resp.Records)
 	}
-	w.next = core.Watch{Incarnation: resp.Incarnation, Roster: resp.Roster, Poison: resp.Poison}
+	w.next = core.Watch{Incarnation: resp.Incarnation, Roster: resp.Roster, Poison: resp.Poison, RouterList: resp.RouterList}
 	if resp.Revision > req.Revision {
 		w.fetchConfig(resp)
 	}
@@ -128,9 +146,11 @@
 }
 
 // markLost records that a call failed. The control daemon no longer counts in the
-// decision whether an upstream is silent.
+// decision whether an upstream is silent, until it has sent its whole roster
+// again.
 func (w *watcher) markLost(err error) {
 	p := w.proxy
+	w.next = core.Watch{}
 	p.watcherMu.Lock()
 	defer p.watcherMu.Unlock()
 	if w.lost || p.ctx.Err() != nil {
@@ -155,7 +175,11 @@
 		w.lost = false
 		p.log.Info("control regained", "at", w.address, "led", resp.FollowsLog)
 	}
-	p.addRouters(resp.Routers, now)
+	w.leads = resp.Leads
+	if resp.Incarnation != w.next.Incarnation || resp.RouterList != w.next.RouterList || resp.RouterList == 0 {
+		w.routers = resp.Routers
+	}
+	p.addRouters(w.routers, now)
 }
 
 // routerRetention is how long a router remains known after a control daemon
@@ -171,16 +195,21 @@
 	if len(p.routers) == 0 && len(addresses) > 0 {
 		p.slackStart = now.Add(routerSettleTime)
 	}
+	changed := false
 	for _, a := range addresses {
+		if _, known := p.routers[a]; !known {
+			changed = true
+		}
 		p.routers[a] = now
 	}
 	for a, at := range p.routers {
 		if now.Sub(at) > routerRetention {
 			delete(p.routers, a)
+			changed = true
 		}
 	}
-	known := slices.Sorted(maps.Keys(p.routers))
-	if !slices.Equal(known, p.view.Load().routers) {
+	if changed {
+		known := slices.Sorted(maps.Keys(p.routers))
 		p.updateView(func(v *view) { v.routers = known })
 	}
 }
@@ -191,14 +220,32 @@
 	p := w.proxy
 	p.watcherMu.Lock()
 	defer p.watcherMu.Unlock()
-	p.union.SetSource(w.address, resp.Entries)
+	if resp.Delta {
+		p.union.UpdateSource(w.address, resp.Entries)
+	} else {
+		p.union.SetSource(w.address, resp.Entries)
+	}
 	p.setUpstreams(p.union.Entries())
 }
 
 // fetchConfig fetches the current configuration from the control daemon and
-// applies it. If that fails, the router continues with its own.
+// applies it. If that fails, the router continues with its own. All control
+// daemons announce a change at the same time, so the watchers take turns and only
+// the first one fetches and parses it.
 func (w *watcher) fetchConfig(resp core.WatchResponse) {
 	p := w.proxy
+	timer := time.NewTimer(fetchTurnWait)
+	defer timer.Stop()
+	select {
+	case p.fetchTurn <- struct{}{}:
+		defer func() { <-p.fetchTurn }()
+	case <-timer.C:
+	case <-p.ctx.Done():
+		return
+	}
+	if p.view.Load().revision() >= resp.Revision {
+		return
+	}
 	f, err := peer.CallWithin[struct{}, core.FetchResponse](p.ctx, fetchTimeout, p.pool, peer.Seed(w.address), core.OpFetch, struct{}{})
 	if err == nil && len(f.Document) == 0 {
 		return
--- /dev/null
+++ b/internal/proxy/watch_test.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"context"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/core"
+	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/plan"
+)
+
+// controls is a number of control daemons that announce the same revisions.
+type controls struct {
+	proxy    *Proxy
+	revision atomic.Int64
+	fetches  atomic.Int64
+	stuck    atomic.Bool // true while the first fetch of a revision is not answered
+}
+
+func (c *controls) methods() peer.Methods {
+	var m peer.Methods
+	m[core.OpFetch] = peer.Handle(func(ctx context.Context, _ poplar.Daemon, _ struct{}) (core.FetchResponse, error) {
+		if c.fetches.Add(1) == 1 && c.stuck.Load() {
+			<-ctx.Done()
+			return core.FetchResponse{}, ctx.Err()
+		}
+		time.Sleep(10 * time.Millisecond) // the time in which the other watchers hear of the revision
+		n := c.revision.Load()
+		return core.FetchResponse{Revision: poplar.Revision(n), Document: []byte(strconv.FormatInt(n, 10))}, nil
+	})
+	return m
+}
+
+// announce tells the watchers of all daemons of the revision, at the same time.
+func (c *controls) announce(t *testing.T, revision int64, hosts []string) {
+	t.Helper()
+	c.revision.Store(revision)
+	done := make(chan struct{}, len(hosts))
+	for _, host := range hosts {
+		a := &announcement{proxy: c.proxy, host: host, revision: revision, done: done}
+		go a.run()
+	}
+	for range hosts {
+		<-done
+	}
+	assert.Equal(t, c.proxy.view.Load().revision(), poplar.Revision(revision))
+}
+
+type announcement struct {
+	proxy    *Proxy
+	host     string
+	revision int64
+	done     chan struct{}
+}
+
+func (a *announcement) run() {
+	w := &watcher{proxy: a.proxy, address: a.host}
+	w.fetchConfig(core.WatchResponse{Revision: poplar.Revision(a.revision)})
+	a.done <- struct{}{}
+}
+
+func newControls(t *testing.T, count int) (*controls, []string) {
+	h := newHarness(t, script{"a": {"ok"}})
+	c := &controls{proxy: h.proxy}
+	h.proxy.settings.ParsePlan = func(document []byte) (*plan.Plan, error) {
+		n, err := strconv.Atoi(string(document))
+		p := testPlan()
+		p.Revision = poplar.Revision(n)
+		return p, err
+	}
+	var hosts []string
+	for i := range count {
+		server := httptest.NewServer(peer.NewServer(poplar.Daemon(strconv.Itoa(i)), "", c.methods()))
+		t.Cleanup(server.Close)
+		hosts = append(hosts, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return c, hosts
+}
+
+// TestConfigurationIsFetchedOnce announces changes at six control daemons. With six
+// fetches for each, a router with a fifth of a core falls seconds behind when
+// changes follow each other closely.
+func TestConfigurationIsFetchedOnce(t *testing.T) {
+	c, hosts := newControls(t, 6)
+	for revision := range int64(10) {
+		c.announce(t, 10+revision, hosts)
+	}
+	assert.Equal(t, c.fetches.Load(), int64(10))
+}
+
+// TestConfigurationIsFetchedElsewhere lets the daemon that is asked first stop
+// responding: another one is asked soon.
+func TestConfigurationIsFetchedElsewhere(t *testing.T) {
+	c, hosts := newControls(t, 3)
+	c.stuck.Store(true)
+	start := time.Now()
+	a := &announcement{proxy: c.proxy, host: hosts[0], revision: 9, done: make(chan struct{}, 2)}
+	c.revision.Store(9)
+	go a.run()
+	for c.fetches.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b := &announcement{proxy: c.proxy, host: hosts[1], revision: 9, done: a.done}
+	go b.run()
+	<-a.done
+	assert.Equal(t, c.proxy.view.Load().revision(), poplar.Revision(9))
+	assert.Assert(t, time.Since(start) < fetchTimeout, "the silent daemon held the fetch up")
+	<-a.done
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -66,6 +66,7 @@
 type record struct {
 	entry       Entry
 	lastContact time.Time
+	version     uint64 // invariant: version of the roster at the last change that routers need
 }
 
 // retention is how long an upstream is remembered after its last contact, so
@@ -86,8 +87,8 @@
 		if r.addressTaken(a) {
 			return false
 		}
-		r.entries[a.Name] = &record{entry: Entry{Announcement: a}, lastContact: now}
 		r.version++
+		r.entries[a.Name] = &record{entry: Entry{Announcement: a}, lastContact: now, version: r.version}
 		return true
 	}
 	if !a.supersedes(rec.entry.Announcement) {
@@ -106,6 +107,7 @@
 	rec.entry = Entry{Announcement: a}
 	if changed {
 		r.version++
+		rec.version = r.version
 	}
 	return changed
 }
@@ -134,6 +136,7 @@
 		}
 		if !rec.entry.Silent && rec.entry.State == StateReady && age > r.silenceTimeout {
 			rec.entry.Silent = true
+			rec.version = r.version + 1
 			changed = true
 		}
 	}
@@ -147,10 +150,17 @@
 func (r *Roster) Version() uint64 { return r.version }
 
 // Entries returns all known upstreams, in no particular order.
-func (r *Roster) Entries() []Entry {
-	list := make([]Entry, 0, len(r.entries))
+func (r *Roster) Entries() []Entry { return r.EntriesSince(0) }
+
+// EntriesSince returns the upstreams that have changed since the roster had the
+// given version, in no particular order. Upstreams that were removed from the
+// roster since then are not returned.
+func (r *Roster) EntriesSince(version uint64) []Entry {
+	var list []Entry
 	for _, rec := range r.entries {
-		list = append(list, rec.entry)
+		if rec.version > version {
+			list = append(list, rec.entry)
+		}
 	}
 	return list
 }
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"poplarbend.example/poplar"
 )
@@ -79,3 +80,37 @@
 	assert.Assert(t, r.Apply(a, now))
 	assert.Assert(t, r.Version() > before)
 }
+
+// TestChangesMakeTheSameList announces and sweeps at random, and compares a router
+// that gets all upstreams with one that gets those that have changed since its last
+// version.
+func TestChangesMakeTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(time.Second)
+		now := time.Unix(1_000_000, 0)
+		full, delta := NewUnion(), NewUnion()
+		seen := uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"announce": func(t *rapid.T) {
+				name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+				r.Apply(Announcement{
+					Name: poplar.Upstream(name), Service: "chat", Address: "10.0.0." + name + ":80",
+					State:     rapid.SampledFrom([]State{StateReady, StateReady, StateLeaving, StateRemoved}).Draw(t, "state"),
+					StartedAt: rapid.Int64Range(1, 3).Draw(t, "born"), Sequence: rapid.Uint64Range(1, 9).Draw(t, "sequence"),
+				}, now)
+			},
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				r.Sweep(now)
+			},
+			"tell": func(*rapid.T) {
+				full.SetSource("core", r.Entries())
+				delta.UpdateSource("core", r.EntriesSince(seen))
+				seen = r.Version()
+				if got, want := describe(delta), describe(full); got != want {
+					t.Fatalf("by changes %q, in full %q", got, want)
+				}
+			},
+		})
+	})
+}
--- a/pkg/roster/union.go
+++ b/pkg/roster/union.go
@@ -23,7 +23,17 @@
 // announcement that is older than the known one of its upstream does not change
 // the merged list.
 func (u *Union) SetSource(source string, entries []Entry) {
-	list := make(map[poplar.Upstream]Entry, len(entries))
+	u.sources[source] = make(map[poplar.Upstream]Entry, len(entries))
+	u.UpdateSource(source, entries)
+}
+
+// UpdateSource merges the entries that have changed into the list of a source.
+func (u *Union) UpdateSource(source string, entries []Entry) {
+	list := u.sources[source]
+	if list == nil {
+		list = make(map[poplar.Upstream]Entry, len(entries))
+		u.sources[source] = list
+	}
 	for _, e := range entries {
 		list[e.Name] = e
 		old, ok := u.merged[e.Name]
@@ -34,7 +44,6 @@
 			u.merged[e.Name] = e
 		}
 	}
-	u.sources[source] = list
 }
 
 // RemoveSource removes the list of a source that no longer answers. Its entries
