Bound the work of the log in fleets of hundreds of routers

Cause: for every workspace that a draw names, the log walked the accounts of all routers three times: 35,400 steps a draw with 295 routers and 40 workspaces, at each member. Every router renewed the reserves of all workspaces each 0.6 s. Draws went to any control daemon and from there to the leader. A request without tokens asked all routers for loans. Ruled out: one entry of the log for many draws, and a renewal that names no workspaces. Both change the outcome at members of the former build.

--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -20,6 +20,10 @@
 // Timeouts and periods of draw requests and loans.
 const (
 	drawPeriod = 350 * time.Millisecond
+	// drawPeriodPerRouter is the time between two draws of a router for each
+	// router of the fleet, if it exceeds drawPeriod and no request waits for
+	// tokens. It bounds the draws that the log takes from all routers.
+	drawPeriodPerRouter = 3 * time.Millisecond
 	// drawTimeout limits one draw request. The next one may go to another
 	// control daemon.
 	drawTimeout = 700 * time.Millisecond
@@ -43,6 +47,9 @@
 	// request asks the other routers again.
 	unlockWaitShare = 0.6
 	minLoanInterval = 100 * time.Millisecond
+	// maxLenders is the number of routers that a request asks in one round. In a
+	// large fleet the calls would otherwise outnumber the requests by far.
+	maxLenders = 24
 )
 
 // wakeDrawLoop makes the draw loop run without waiting for its next period.
@@ -72,6 +79,9 @@
 // response to the wallet.
 func (p *Proxy) draw(t *plan.Table) {
 	now := time.Now()
+	if now.Before(p.nextDraw) && !p.wallet.Waiting() {
+		return
+	}
 	addrs := p.reachableControlAddrs()
 	if len(addrs) == 0 {
 		addrs = p.controlAddrs()
@@ -80,7 +90,13 @@
 	if !due || len(addrs) == 0 {
 		return
 	}
+	p.nextDraw = now.Add(time.Duration(len(p.view.Load().routers)) * drawPeriodPerRouter)
 	to := addrs[rand.IntN(len(addrs))]
+	// The leader needs no second hop. When it has just failed to answer, another
+	// control daemon is asked, which may know of a new leader.
+	if leader := p.leaderAddr(); leader != "" && p.drawsSucceed.Load() {
+		to = leader
+	}
 	p.metrics.draws.Add(1)
 	resp, err := p.sendDraw(p.ctx, to, d)
 	if err != nil {
@@ -235,18 +251,20 @@
 	return p.wallet.Reserve(w, tokens, time.Now())
 }
 
-// borrow asks other routers in random order until the tokens can be reserved.
+// borrow asks up to maxLenders other routers in random order until the tokens can be reserved.
 // If they cannot, lendable is the sum of the tokens that these routers may be
 // able to lend in the next second.
 func (p *Proxy) borrow(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens) (ok bool, lendable poplar.Tokens) {
 	routers := p.view.Load().routers
+	asked := 0
 	for _, i := range rand.Perm(len(routers)) {
 		if routers[i] == p.settings.Address {
 			continue
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || asked >= maxLenders {
 			break
 		}
+		asked++
 		lendable += p.borrowFrom(ctx, routers[i], w, tokens)
 		if p.wallet.Reserve(w, tokens, time.Now()) {
 			return true, 0
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -85,6 +85,7 @@
 
 	reportWake   chan struct{}
 	drawWake     chan struct{}
+	nextDraw     time.Time   // invariant: used only by drawLoop; no draw before it unless a request waits
 	drawsSucceed atomic.Bool // true if the last draw request was answered
 	drewOnce     atomic.Bool // true once a draw request was answered
 	drawMu       sync.Mutex
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -325,15 +325,18 @@
 		return
 	}
 	v.compacting = true
+	image := v.image()
 	v.group.SubmitCompact(func(err error) {
-		next := v.config.CompactSize
+		// With a large state, a snapshot costs more than the records that it
+		// replaces, so there are at least as many bytes of those.
+		next := max(v.config.CompactSize, int64(len(image)))
 		if err != nil {
 			// The journal is either unchanged, or rejects the next record,
 			// which stops the voter.
 			next += v.group.Size()
 		}
 		v.enqueue(func(in *inbox) { in.compactAt = next })
-	}, v.image())
+	}, image)
 }
 
 // close stores the commit index, so that a restart continues from there, fails
--- a/pkg/wallet/budgets.go
+++ b/pkg/wallet/budgets.go
@@ -165,6 +165,40 @@
 	ClosedIssued poplar.Tokens              `json:"gone,omitempty"`
 	ClosedSpent  poplar.Tokens              `json:"goneused,omitempty"`
 	Accounts     map[poplar.Daemon]*Account `json:"with,omitempty"`
+
+	sums *accountSums // invariant: the sums over Accounts, or nil before they are first needed
+}
+
+// accountSums are sums over the accounts of a budget. They are kept up to date
+// with each change, since each draw needs them for all workspaces that it names
+// and a large fleet has hundreds of accounts for each.
+type accountSums struct {
+	outstanding poplar.Tokens // issued and not returned
+	held, spent poplar.Tokens
+}
+
+// add adds an account, and remove takes it out before it is changed or deleted.
+func (s *accountSums) add(a *Account) {
+	s.outstanding += a.Issued - a.Returned
+	s.held += a.Held
+	s.spent += a.Spent
+}
+
+func (s *accountSums) remove(a *Account) {
+	s.outstanding -= a.Issued - a.Returned
+	s.held -= a.Held
+	s.spent -= a.Spent
+}
+
+// totals returns the sums over the accounts.
+func (b *Budget) totals() *accountSums {
+	if b.sums == nil {
+		b.sums = &accountSums{}
+		for _, a := range b.Accounts {
+			b.sums.add(a)
+		}
+	}
+	return b.sums
 }
 
 // Budgets is the state of all budgets. It is not safe for concurrent use. It is
@@ -253,6 +287,7 @@
 		intact := lockedTokens(a.Reserve, age)
 		budget.ClosedIssued += a.Issued - a.Returned - intact
 		budget.ClosedSpent += a.Spent
+		budget.totals().remove(a)
 		delete(budget.Accounts, d.Holder.Name)
 		if tokens := a.Held - intact; tokens > 0 {
 			lost[name] = Loss{Tokens: tokens, Held: a.Held, Open: a.Open, Reserve: a.Reserve, UnlockedMillis: age.Milliseconds()}
@@ -280,22 +315,26 @@
 		a = &Account{}
 		b.Accounts[d.Holder.Name] = a
 	}
+	b.totals().remove(a)
 	a.Returned = max(a.Returned, min(e.Returned, a.Issued))
 	a.Spent = max(a.Spent, e.Spent)
 	a.Reserve = min(max(e.Reserve, 0), a.Issued-a.Returned)
 	a.UnlockStart, a.UnlockStartLog, a.Open = d.UnlockStart, d.UnlockStartLog, e.Open
 	if e.Issued == a.Issued {
-		a.Issued += b.allot(e, routers)
+		a.Issued += b.allot(e, a.Issued-a.Returned, routers)
 	}
 	a.Held = a.Issued + e.NetBorrowed - e.Returned - e.Spent
+	b.totals().add(a)
 	return BudgetStatus{Issued: a.Issued, Free: b.free(), Remaining: b.remaining(), Grant: b.Grant, Spent: b.spent()}
 }
 
-// allot returns the number of tokens to issue for an entry. While many tokens are
-// free, a router gets all that it desires. The last tokens are issued in smaller
-// parts, except that a waiting request gets what it needs if that many are free.
-func (b *Budget) allot(e DrawEntry, routers int) poplar.Tokens {
-	free := b.free()
+// allot returns the number of tokens to issue for an entry of the router whose
+// account was taken out of the sums and has the given number of tokens outstanding.
+// While many tokens are free, a router gets all that it desires. The last tokens are
+// issued in smaller parts, except that a waiting request gets what it needs if that
+// many are free.
+func (b *Budget) allot(e DrawEntry, outstanding poplar.Tokens, routers int) poplar.Tokens {
+	free := b.free() - outstanding
 	if free <= 0 || e.Desired < 0 || e.Needed < 0 {
 		return 0
 	}
@@ -310,27 +349,9 @@
 }
 
 // free returns the number of tokens that are not issued.
-func (b *Budget) free() poplar.Tokens {
-	free := b.Grant - b.ClosedIssued
-	for _, a := range b.Accounts {
-		free -= a.Issued - a.Returned
-	}
-	return free
-}
+func (b *Budget) free() poplar.Tokens { return b.Grant - b.ClosedIssued - b.totals().outstanding }
 
 // remaining returns the number of tokens that are free or held by routers.
-func (b *Budget) remaining() poplar.Tokens {
-	left := b.free()
-	for _, a := range b.Accounts {
-		left += a.Held
-	}
-	return left
-}
+func (b *Budget) remaining() poplar.Tokens { return b.free() + b.totals().held }
 
-func (b *Budget) spent() poplar.Tokens {
-	sum := b.ClosedSpent
-	for _, a := range b.Accounts {
-		sum += a.Spent
-	}
-	return sum
-}
+func (b *Budget) spent() poplar.Tokens { return b.ClosedSpent + b.totals().spent }
--- a/pkg/wallet/wallet.go
+++ b/pkg/wallet/wallet.go
@@ -1,6 +1,7 @@
 package wallet
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -62,8 +63,15 @@
 	// statusMaxAge is the age up to which the status of a budget counts as current.
 	// It allows for the loss of a few draws.
 	statusMaxAge = 2 * time.Second
-	// reserveRenewAge is the age at which a confirmed reserve is renewed by a draw.
-	reserveRenewAge = 600 * time.Millisecond
+	// minRenewAge is the age at which a confirmed reserve is renewed by a draw. In
+	// a large fleet reserves grow older, so that all routers together renew at most
+	// maxRenewals reserves a second: each renewal is work for all members of the
+	// log. A reserve that has unlocked further loses more when its router is killed.
+	minRenewAge = 600 * time.Millisecond
+	maxRenewals = 6000
+	// earlyRenewal is the fraction of its age of renewal from which a reserve is
+	// renewed by a draw that is due anyway.
+	earlyRenewal = 0.5
 )
 
 // Wallet holds the tokens of one incarnation of a router. It is safe for
@@ -263,21 +271,49 @@
 	defer w.mu.Unlock()
 	answered := w.drawAnswered
 	d := w.newDraw(now)
+	renewAge := max(minRenewAge, time.Duration(w.routerCount*len(workspaces))*time.Second/maxRenewals)
+	early := map[poplar.Workspace]DrawEntry{}
 	for name, grant := range workspaces {
 		if !grant.Bound {
 			continue
 		}
 		b := w.balance(name)
 		b.addDemand(0, now)
-		if entry, due := b.nextEntry(grant.Tokens, w.policy, w.routerCount, now); due {
+		entry, due := b.nextEntry(grant.Tokens, w.policy, w.routerCount, now)
+		age := b.reserveAge(now)
+		switch {
+		case due, entry.Reserve > 0 && age > renewAge:
 			d.Entries[name] = entry
-			b.addPendingReserve(entry.Reserve, w.unlockStart)
+		case entry.Reserve > 0 && age > time.Duration(earlyRenewal*float64(renewAge)):
+			early[name] = entry
 		}
 	}
 	if len(d.Entries) == 0 {
 		w.drawAnswered = answered // nothing is sent
+		return d, false
 	}
-	return d, len(d.Entries) > 0
+	maps.Copy(d.Entries, early)
+	for name, entry := range d.Entries {
+		w.balances[name].addPendingReserve(entry.Reserve, w.unlockStart)
+	}
+	return d, true
+}
+
+// Waiting reports whether a request waits for tokens that the next draw asks for.
+func (w *Wallet) Waiting() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, b := range w.balances {
+		if b.largestWaiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// reserveAge returns the time for which the confirmed reserve has been unlocking.
+func (b *balance) reserveAge(now time.Time) time.Duration {
+	return now.Sub(b.confirmedReserve.unlockStart)
 }
 
 // newDraw returns a draw request without entries. If the previous draw was
@@ -346,7 +382,8 @@
 }
 
 // nextEntry returns the entry for the next draw request, which says how many tokens
-// to ask for, to reserve and to return, and whether a draw is due.
+// to ask for, to reserve and to return, and whether a draw is due for another reason
+// than the age of the reserve.
 func (b *balance) nextEntry(grant poplar.Tokens, policy Policy, routers int, now time.Time) (DrawEntry, bool) {
 	ready, reserve := b.targets(grant, policy, routers)
 	need := max(b.largestWaiting, ready)
@@ -368,8 +405,7 @@
 		Needed:  max(b.largestWaiting-have, 0),
 		Desired: max(need+reserve-have, 0),
 	}
-	stale := newReserve > 0 && now.Sub(b.confirmedReserve.unlockStart) > reserveRenewAge
-	due := !b.hasStatus || b.largestWaiting > 0 || e.Desired > (ready+reserve)/dueDivisor || stale || (b.confirmedReserve.tokens > 0 && newReserve == 0) ||
+	due := !b.hasStatus || b.largestWaiting > 0 || e.Desired > (ready+reserve)/dueDivisor || (b.confirmedReserve.tokens > 0 && newReserve == 0) ||
 		b.returned != b.reported.Returned || float64(b.spent-b.reported.Spent) > reportFraction*float64(grant) ||
 		e.NetBorrowed != b.reported.NetBorrowed
 	return e, due
--- a/pkg/wallet/wallet_test.go
+++ b/pkg/wallet/wallet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"flag"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"testing"
@@ -193,6 +194,13 @@
 				c.grant += 500
 				c.budgets.Declare(map[poplar.Workspace]Grant{testWorkspace: {Tokens: c.grant, Bound: true}})
 			},
+			"restore": func(*rapid.T) {
+				restored := jsonCopy(c.budgets)
+				budget, again := c.budgets.ByWorkspace[testWorkspace], restored.ByWorkspace[testWorkspace]
+				if *budget.totals() != *again.totals() {
+					t.Fatalf("sums %+v, restored %+v", *budget.totals(), *again.totals())
+				}
+			},
 			"": func(t *rapid.T) {
 				if c.spent > c.grant {
 					t.Fatalf("spent %d of %d", c.spent, c.grant)
@@ -463,3 +471,52 @@
 	c.drawAll()
 	assert.Assert(t, c.serve(0, 500))
 }
+
+// TestLargeFleetDrawsLittle plays 295 routers with 40 workspaces of which few are in
+// use at any router. The reserves that the log renews in a second must not grow with
+// routers times workspaces, and all routers must get what their requests need.
+func TestLargeFleetDrawsLittle(t *testing.T) {
+	const (
+		routers = 295
+		seconds = 10
+		step    = 350 * time.Millisecond // period of draws
+	)
+	budgets, now := NewBudgets(), time.UnixMilli(1_000_000)
+	grants := map[poplar.Workspace]Grant{}
+	for i := range 40 {
+		grants[poplar.Workspace("w"+strconv.Itoa(i))] = Grant{Tokens: 10_000_000, Bound: true}
+	}
+	budgets.Declare(grants)
+	fleet := make([]*Wallet, routers)
+	for i := range fleet {
+		fleet[i] = NewWallet(Holder{Name: poplar.Daemon("r" + strconv.Itoa(i)), Incarnation: 1}, DefaultPolicy(), now)
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	entries, refused, requests := 0, 0, 0
+	warm := now.Add(seconds * time.Second)
+	draw := func(w *Wallet) {
+		if d, due := w.NextDraw(grants, now); due {
+			w.ApplyDraw(d, budgets.HandleDraw(d, now.UnixMilli()), now)
+			if now.After(warm) {
+				entries += len(d.Entries)
+			}
+		}
+	}
+	for end := warm.Add(seconds * time.Second); now.Before(end); now = now.Add(step) {
+		for i, w := range fleet {
+			name := poplar.Workspace("w" + strconv.Itoa((i+rng.IntN(3))%40))
+			ok := w.Reserve(name, 2000, now)
+			draw(w)
+			if !ok && !w.Reserve(name, 2000, now) {
+				refused++
+				continue
+			}
+			requests++
+			w.Settle(name, 2000, 1500)
+		}
+	}
+	// Renewals that a draw makes early because it is due anyway, and the draws of
+	// the workspaces in use, come on top of the renewals that are due.
+	assert.Assert(t, entries < 3*maxRenewals*seconds, "%d entries in %d s", entries, seconds)
+	assert.Equal(t, refused, 0, "of %d requests", requests)
+}
