Take no answer without an id on a connection in use again

Cause: an answer without an id counted as that of the request in progress. On a connection that had carried another request it may be a late second copy of that one's answer: the next caller got it, or was told by a stray refusal that its request, which then ran, was not run. Change: on such a connection the id must match; other answers are skipped as strays. Shown by: TestStrayAnswerReachesNoCaller, three of its four cases failing before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -215,7 +215,7 @@
 		x.p.metrics.resumed.Add(1)
 	}
 	x.runs++ // undone if the upstream refuses the request
-	a := &attempt{x: x, u: u, uncached: uncached}
+	a := &attempt{x: x, u: u, uncached: uncached, reused: conn.Reused()}
 	defer a.noteFirstByte()
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
@@ -332,6 +332,7 @@
 	call         *conns.Call
 	stall        *stallTimer
 	uncached     poplar.Tokens
+	reused       bool // true if the connection has carried another request
 	gotFirstByte bool // invariant: true once the first byte was received
 	complete     bool // invariant: true once the response was read to its end
 	err          error
@@ -352,8 +353,10 @@
 	x := a.x
 	dialect := x.p.settings.Dialect
 	resp, err := a.call.Answer(x.r.Method, func(resp *http.Response) bool { //nolint:bodyclose // see below
+		// On a connection that has carried another request, an answer without an
+		// id may be a late second answer to that one.
 		id := dialect.Head(resp).ID
-		return id == "" || id == x.env.ID
+		return id == x.env.ID || id == "" && !a.reused
 	})
 	if err != nil {
 		a.err = err
