Serve connections that the kernel accepted before a planned stop

Cause: closing a listener resets the connections that the kernel has completed and the process has not accepted, with the requests on them. A router under load, whose accept loop is behind, cut requests so at the end of its planned stop.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,7 +181,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: quietLog()}
-	go p.run(s, listener)
+	go p.run(s, newDrainingListener(listener))
 	return s, nil
 }
 
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -134,6 +134,11 @@
 	if err := r.callers.Shutdown(closing); err != nil {
 		r.log.Info("requests are open", "error", err)
 	}
+	// The listener still accepts what waits in the kernel.
+	select {
+	case <-serve.Done():
+	case <-time.After(2 * drainTime):
+	}
 	r.proxy.WaitIdle(serve)
 	if err := r.callers.Close(); err != nil {
 		r.log.Info("listener closed", "error", err)
