--- a/pkg/wallet/wallet_test.go
+++ b/pkg/wallet/wallet_test.go
@@ -520,3 +520,27 @@
 	assert.Assert(t, entries < 3*maxRenewals*seconds, "%d entries in %d s", entries, seconds)
 	assert.Equal(t, refused, 0, "of %d requests", requests)
 }
+
+// BenchmarkDrawOfLargeFleet applies draws that name 40 workspaces of which 295
+// routers hold tokens.
+func BenchmarkDrawOfLargeFleet(b *testing.B) {
+	const routers, workspaces = 295, 40
+	budgets, grants, entries := NewBudgets(), map[poplar.Workspace]Grant{}, map[poplar.Workspace]DrawEntry{}
+	for i := range workspaces {
+		name := poplar.Workspace("w" + strconv.Itoa(i))
+		grants[name], entries[name] = Grant{Tokens: 10_000_000, Bound: true}, DrawEntry{Reserve: 1000}
+	}
+	budgets.Declare(grants)
+	at := int64(0)
+	draw := func(router int) {
+		at++
+		holder := Holder{Name: poplar.Daemon("r" + strconv.Itoa(router)), Incarnation: 1}
+		budgets.HandleDraw(DrawRequest{Holder: holder, Entries: entries, Number: uint64(at)}, at)
+	}
+	for i := range routers {
+		draw(i)
+	}
+	for i := 0; b.Loop(); i++ {
+		draw(i % routers)
+	}
+}
