Let the log have as many voters as the losses that it bears need

There are two control daemons in each domain, but the log had three voters whatever their number, and two of them were in that domain: a majority of voters, and a minority of the daemons. With the loss of two borne by the fleet, three voters were also too few. Change: twice the number of losses that the fleet bears, and one, are voters. The setting losses says how many; without it there are three voters as before. Shown by: TestVotersBearTheLosses, failing before. Left: a fleet that bears one loss and has two of three voters in one domain would show the same. Voters do not know their failure domains.

--- a/internal/conf/process.go
+++ b/internal/conf/process.go
@@ -38,6 +38,9 @@
 	Cores int
 	// Memory is the most memory of the process, in bytes, or 0.
 	Memory int64
+	// Losses is the number of control daemons that the fleet bears to lose at the
+	// same time.
+	Losses int
 	// Beat is the time between two announcements of an upstream.
 	Beat time.Duration
 	// Grace is the time that a planned stop has.
@@ -57,6 +60,9 @@
 	mostSlack    = 1e6
 	mostCores    = 256
 	mostMemory   = 1 << 20 // megabytes
+
+	defaultLosses = 1
+	mostLosses    = 3 // with seven voters
 )
 
 var processShape = record{
@@ -70,6 +76,7 @@
 	"log":     oneOf("debug", "info", "warn", "error"),
 	"cores":   whole(1, mostCores),
 	"memory":  number(0, mostMemory),
+	"losses":  whole(0, mostLosses),
 	"beat":    span(time.Millisecond, time.Hour),
 	"grace":   span(time.Millisecond, day),
 	"repeats": record{"ratio": number(0, 1), "slack": number(0, mostSlack), "span": span(time.Second, time.Hour)},
@@ -100,6 +107,7 @@
 		Log:         root.kid("log").string("info"),
 		Cores:       int(root.kid("cores").whole(1)),
 		Memory:      int64(root.kid("memory").number(0) * (1 << 20)),
+		Losses:      int(root.kid("losses").whole(defaultLosses)),
 		Beat:        root.kid("beat").span(defaultBeat),
 		Grace:       root.kid("grace").span(defaultGrace),
 		RepeatRatio: repeats.kid("ratio").number(defaultRatio),
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -42,11 +42,14 @@
 	// compactSize is the journal's size at which a snapshot replaces it, in
 	// bytes. It bounds the time of a start.
 	compactSize = 1 << 20
-	// voterCount is the number of voters that joining members fill up to: it
-	// bears the loss of one.
-	voterCount = 3
 )
 
+// voterCount returns the number of voters that joining members fill up to, such
+// that a majority of them is left when the given number is lost. A majority then
+// also holds more daemons than may be lost, so that those of a failure domain that
+// is cut off cannot acknowledge a change on their own.
+func voterCount(losses int) int { return 2*max(losses, 1) + 1 }
+
 // Settings are what a control daemon starts from.
 type Settings struct {
 	// Address is the daemon's peer address, host and port; it is its name in
@@ -57,6 +60,9 @@
 	// First is true when the whole fleet starts for the first time.
 	First bool
 	Files poplar.Files
+	// Losses is the number of control daemons that may be lost at the same time,
+	// 1 at least.
+	Losses int
 	// Quiet is the silence after which an upstream is marked as silent.
 	Quiet time.Duration
 	Clock poplar.Clock
@@ -135,7 +141,7 @@
 	asked := c.asked
 	c.mu.Unlock()
 	v, err := voter.Start(voter.Config{
-		Name: peer.Seed(s.Address), Founders: asked, Join: !s.First, TargetVoters: voterCount,
+		Name: peer.Seed(s.Address), Founders: asked, Join: !s.First, TargetVoters: voterCount(s.Losses),
 		Files: s.Files, Applier: c.replica, Sender: c.box, Forward: c.forward, Clock: s.Clock,
 		Heartbeat: heartbeat, Election: election, RepairTimeout: repairTime, CompactSize: compactSize,
 	})
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 	servers map[string]*httptest.Server
 	pools   map[string]*peer.Pool
 	disks   map[string]*disk.Memory
+	losses  int
 }
 
 func listen(t *testing.T) net.Listener {
@@ -41,16 +43,21 @@
 	return l
 }
 
-func newFleet(t *testing.T, size int) *fleet {
+func newFleet(t *testing.T, size int) *fleet { return newFleetWithLosses(t, size, 1) }
+
+// newFleetWithLosses starts control daemons that know the first three.
+func newFleetWithLosses(t *testing.T, size, losses int) *fleet {
 	f := &fleet{
-		t: t, cores: map[string]*Core{}, servers: map[string]*httptest.Server{}, pools: map[string]*peer.Pool{},
+		t: t, losses: losses, cores: map[string]*Core{}, servers: map[string]*httptest.Server{}, pools: map[string]*peer.Pool{},
 		disks: map[string]*disk.Memory{},
 	}
 	var listeners []net.Listener
 	for range size {
 		l := listen(t)
 		listeners = append(listeners, l)
-		f.seeds = append(f.seeds, l.Addr().String())
+		if len(f.seeds) < 3 {
+			f.seeds = append(f.seeds, l.Addr().String())
+		}
 	}
 	for _, l := range listeners {
 		f.start(l, true)
@@ -73,7 +80,7 @@
 	}
 	f.pools[address] = peer.NewPool(poplar.Daemon(address), "", nil)
 	c, err := Start(Settings{
-		Address: address, Seeds: f.seeds, First: first, Files: f.disks[address], Quiet: time.Second, Clock: poplar.System{}, Log: logger,
+		Address: address, Seeds: f.seeds, First: first, Files: f.disks[address], Losses: f.losses, Quiet: time.Second, Clock: poplar.System{}, Log: logger,
 	}, f.pools[address])
 	assert.NilError(f.t, err)
 	f.cores[address] = c
@@ -171,6 +178,42 @@
 	}
 }
 
+// TestVotersBearTheLosses has six control daemons, two in each of three failure
+// domains, that bear the loss of two. After the loss of any two at once the others
+// acknowledge changes, and two that are left on their own never do.
+func TestVotersBearTheLosses(t *testing.T) {
+	f := newFleetWithLosses(t, 6, 2)
+	f.declare(f.seeds[0], 1, "one")
+	voters := func() []string {
+		var names []string
+		for _, m := range f.cores[f.seeds[0]].voter.Load().Status().Members().Voters {
+			names = append(names, peer.Host(m.Name))
+		}
+		return names
+	}
+	f.await("all voters", func() bool { return len(voters()) == 5 })
+	left := f.seeds[:2]
+	lost := 0
+	for _, address := range voters() {
+		if !slices.Contains(left, address) && lost < f.losses {
+			f.stop(address)
+			lost++
+		}
+	}
+	f.declare(f.seeds[0], 2, "two")
+	for address := range f.cores {
+		if !slices.Contains(left, address) {
+			f.stop(address)
+		}
+	}
+	for _, address := range left {
+		c := f.cores[address]
+		f.await("the loss", func() bool { return !c.led() })
+		_, err := c.Put(t.Context(), 3, "three", []byte("three"), nil)
+		assert.Assert(t, err != nil, "two of six acknowledge a change")
+	}
+}
+
 // TestMinorityIsNotSure checks that a control daemon without a majority neither
 // acknowledges nor reads, and hears upstreams only while a router listens.
 func TestMinorityIsNotSure(t *testing.T) {
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -168,7 +168,7 @@
 		return nil, err
 	}
 	c, err := core.Start(core.Settings{
-		Address: s.Peers, Seeds: seedAddresses(s), First: s.First, Files: folder,
+		Address: s.Peers, Seeds: seedAddresses(s), First: s.First, Files: folder, Losses: s.Losses,
 		Quiet: quietBeats * s.Beat, Clock: poplar.System{}, Log: p.log,
 	}, p.pool)
 	if err != nil {
