Keep an eighth of the upstreams for long prompts

Cause: since a prompt is long by its uncached tokens, few are, and a quarter of the upstreams that short prompts avoid is more than they need. Change: an eighth. TestLongPromptUpstreamsIsStable takes 24 upstreams in place of 12, so that three are preferred as before and the same two of three must stay.

--- a/pkg/place/place.go
+++ b/pkg/place/place.go
@@ -130,7 +130,7 @@
 	longPrompt = 14_000
 	// longPromptShare is the share of the upstreams preferred for long
 	// prompts.
-	longPromptShare = 0.25
+	longPromptShare = 0.125
 )
 
 // IsLongPrompt reports whether a prompt with the given number of uncached tokens
--- a/pkg/place/place_test.go
+++ b/pkg/place/place_test.go
@@ -94,14 +94,14 @@
 // TestLongPromptUpstreamsIsStable checks that the order of the upstreams does not
 // matter, and that adding an upstream changes few of the preferred ones.
 func TestLongPromptUpstreamsIsStable(t *testing.T) {
-	all := upstreamNames(12)
+	all := upstreamNames(24)
 	preferred := LongPromptUpstreams(all)
 	assert.Equal(t, len(preferred), 3)
 	shuffled := append([]poplar.Upstream(nil), all...)
 	rand.New(rand.NewPCG(1, 2)).Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 	assert.DeepEqual(t, LongPromptUpstreams(shuffled), preferred)
 	unmoved := 0
-	for u := range LongPromptUpstreams(all[:11]) {
+	for u := range LongPromptUpstreams(all[:23]) {
 		if preferred[u] {
 			unmoved++
 		}
