--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -251,9 +251,9 @@
 	return p.wallet.Reserve(w, tokens, time.Now())
 }
 
-// borrow asks up to maxLenders other routers in random order until the tokens can be reserved.
-// If they cannot, lendable is the sum of the tokens that these routers may be
-// able to lend in the next second.
+// borrow asks other routers in random order, at most maxLenders of them, until the
+// tokens can be reserved. If they cannot, lendable is the sum of the tokens that
+// these routers may be able to lend in the next second.
 func (p *Proxy) borrow(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens) (ok bool, lendable poplar.Tokens) {
 	routers := p.view.Load().routers
 	asked := 0
