Mend a pooled connection that a late timer aborts, and the range of losses

Cause, found by reading: the timer of Call.Drop may fire while the body ends. Its deadline in the past then lands on a connection that is back in the pool, where the next request fails after it was sent and counts as run. And settings with more than three losses were refused, so that the control daemons of a large platform would not start. Change: a body whose limit has passed is an error, which closes the connection; up to 100 losses are accepted, as the number of voters ends with the number of daemons.

--- a/internal/conf/process.go
+++ b/internal/conf/process.go
@@ -38,8 +38,7 @@
 	Cores int
 	// Memory is the most memory of the process, in bytes, or 0.
 	Memory int64
-	// Losses is the number of control daemons that the fleet bears to lose at the
-	// same time.
+	// Losses is the number of control daemons that may be lost at the same time.
 	Losses int
 	// Beat is the time between two announcements of an upstream.
 	Beat time.Duration
@@ -62,7 +61,7 @@
 	mostMemory   = 1 << 20 // megabytes
 
 	defaultLosses = 1
-	mostLosses    = 3 // with seven voters
+	mostLosses    = 100
 )
 
 var processShape = record{
--- a/internal/conns/call.go
+++ b/internal/conns/call.go
@@ -30,6 +30,7 @@
 	errNoHead   = errors.New("no head of an answer")
 	errLongHead = errors.New("the head of an answer exceeds the size limit")
 	errLongBody = errors.New("the body of an answer that is dropped exceeds the size limit")
+	errLateBody = errors.New("the body of an answer that is dropped did not end in time")
 	errStrange  = errors.New("answers to other requests")
 )
 
@@ -139,8 +140,11 @@
 // when the body is long or does not end by limit.
 func (k *Call) Drop(limit time.Time) error {
 	timer := time.AfterFunc(time.Until(limit), k.Abort)
-	defer timer.Stop()
-	return drop(k.resp.Body)
+	err := drop(k.resp.Body)
+	if !timer.Stop() && err == nil {
+		err = errLateBody // the connection may be aborted at any moment
+	}
+	return err
 }
 
 func drop(body io.Reader) error {
--- a/internal/conns/endless_test.go
+++ b/internal/conns/endless_test.go
@@ -83,3 +83,25 @@
 	assert.Assert(t, err != nil)
 	k.Finish(false)
 }
+
+// TestLateDropClosesTheConnection drops a whole body whose limit has passed: the end
+// of the limit may close the connection at any moment, so it must not be used again.
+func TestLateDropClosesTheConnection(t *testing.T) {
+	s, p := newServer(t), NewPool()
+	conn, err := p.Get(t.Context(), s.address(), time.Now().Add(time.Second), time.Time{})
+	assert.NilError(t, err)
+	k := p.Send(t.Context(), conn, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}})
+	upstream := <-s.accepted
+	write(t, upstream, "HTTP/1.1 503 Service Unavailable\nContent-Length: 0\n\n")
+	_, err = k.Answer(http.MethodPost, func(*http.Response) bool { return true })
+	assert.NilError(t, err)
+	// The timer of a limit that has passed ends at once, but not before the body.
+	for range 1000 {
+		if err = k.Drop(time.Now().Add(-time.Second)); err != nil {
+			break
+		}
+	}
+	assert.Assert(t, err != nil)
+	k.Finish(err == nil)
+	assert.Equal(t, len(p.idle[s.address()]), 0)
+}
