Keep the ports of scripted daemons out of the range of outgoing connections

Its port was 46399, and the kernel gives outgoing connections ports from 32768 to 60999. Change: the scripts' daemons get free ports below 32000. Nothing is checked less. Shown by: TestPortsOutlastRestarts, failing before.

--- a/cmd/poplarbend/main_test.go
+++ b/cmd/poplarbend/main_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,6 +12,7 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"gotest.tools/v3/assert"
 )
 
 // eventuallyTime bounds how long a script waits for a state.
@@ -88,7 +91,7 @@
 		for i := range nodes {
 			n := &nodes[i]
 			for range 4 {
-				l, err := net.Listen("tcp", "127.0.0.1:0")
+				l, err := listenStable()
 				if err != nil {
 					return err
 				}
@@ -112,6 +115,37 @@
 	return nil
 }
 
+// Ports of daemons that scripts kill and start again. The kernel gives outgoing
+// connections ports from 32768 on, so one of those may be taken while its daemon is
+// down.
+const firstPort, lastPort = 10_000, 32_000
+
+// listenStable listens on a free port between firstPort and lastPort.
+func listenStable() (net.Listener, error) {
+	var err error
+	for range 100 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
+// TestPortsOutlastRestarts checks that no outgoing connection can take the port of
+// a daemon that is down.
+func TestPortsOutlastRestarts(t *testing.T) {
+	env := &testscript.Env{WorkDir: t.TempDir()}
+	assert.NilError(t, writeSettings(env))
+	for _, text := range env.Vars {
+		if name, address, _ := strings.Cut(text, "="); strings.HasPrefix(name, "OPERATORS_") {
+			port, err := netip.ParseAddrPort(address)
+			assert.NilError(t, err)
+			assert.Assert(t, port.Port() < 32_768, "%s is %s", name, address)
+		}
+	}
+}
+
 // write writes the settings of one daemon, the credentials, and a variable with
 // the address of its operators' listener.
 func (n node) write(env *testscript.Env, peer, voters, ledgers string) error {
