Keep the last tokens of a budget for urgent requests

Cause: the last tokens of a budget went to whoever came first. Change: routers report the use by urgent requests in their draws, the log adds it up, and less urgent requests are refused at once, not run, while less is left than a minute of it and less than a tenth of the grant. Ruled out: smaller holdings, a part of a fifth, see docs/design/platform.md.

--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -41,6 +41,9 @@
 	// answer is not asked again for lenderBackoff.
 	loanTimeout   = 80 * time.Millisecond
 	lenderBackoff = time.Second
+	// keptRetryDelay is the delay of a request that finds the last tokens of its budget
+	// kept for more urgent ones. Only a higher grant or unused reservations help it.
+	keptRetryDelay = 5 * time.Second
 	// While the log is unreachable, locked tokens become ready over time.
 	// unlockWaitShare is the share of its latency target for which a request
 	// waits for them. minLoanInterval is the minimum time after which the
@@ -176,12 +179,13 @@
 	return p.drawDone
 }
 
-// reserve takes tokens for a request with the given latency target. When the
-// wallet lacks tokens, it waits for a draw response of the log and then asks the
-// other routers for loans, which also works while the log is unreachable.
-func (p *Proxy) reserve(
-	ctx context.Context, w poplar.Workspace, tokens poplar.Tokens, latencyTarget time.Duration, deadline time.Time,
-) *poplar.Error {
+// reserve takes tokens for a request on the given route. When the wallet lacks
+// tokens, it waits for a draw response of the log and then asks the other routers
+// for loans, which also works while the log is unreachable.
+func (p *Proxy) reserve(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens, route *plan.Route, deadline time.Time) *poplar.Error {
+	if p.wallet.KeptFrom(w, route.Rank) {
+		return keptError()
+	}
 	if p.wallet.Reserve(w, tokens, time.Now()) {
 		return nil
 	}
@@ -191,15 +195,22 @@
 		// tokens are about to arrive.
 		wait, timeout = firstDrawWait, firstDrawWait+reserveTimeout
 	}
-	unlockWait := time.Duration(unlockWaitShare * float64(latencyTarget))
+	unlockWait := time.Duration(unlockWaitShare * float64(route.FirstByteTarget))
 	reserveBy := time.Now().Add(max(timeout, unlockWait))
 	if reserveBy.After(deadline) {
 		reserveBy = deadline
 	}
 	ctx, cancel := context.WithDeadline(ctx, reserveBy)
 	defer cancel()
-	if (p.drawsSucceed.Load() || !p.drewOnce.Load()) && p.awaitDraw(ctx, w, tokens, wait) {
-		return nil
+	if p.drawsSucceed.Load() || !p.drewOnce.Load() {
+		p.awaitDraw(ctx, wait)
+		// A router that has just started learns only now what is kept.
+		if p.wallet.KeptFrom(w, route.Rank) {
+			return keptError()
+		}
+		if p.wallet.Reserve(w, tokens, time.Now()) {
+			return nil
+		}
 	}
 	retryAt := time.Now().Add(drawPeriod)
 	for end := time.Now().Add(unlockWait); ; {
@@ -224,6 +235,13 @@
 		Ran(poplar.RunNo).After(retryAt)
 }
 
+// keptError refuses a request that must leave the last tokens of its budget to more
+// urgent ones.
+func keptError() *poplar.Error {
+	return poplar.Failf(poplar.StepReserve, poplar.CodeBusy, "the last tokens of the budget are kept for more urgent requests").
+		Ran(poplar.RunNo).After(time.Now().Add(keptRetryDelay))
+}
+
 // sleep waits and reports whether ctx is still active.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
@@ -236,9 +254,8 @@
 	}
 }
 
-// awaitDraw waits for the next draw response, at most for the time wait, and then
-// tries to reserve the tokens.
-func (p *Proxy) awaitDraw(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens, wait time.Duration) bool {
+// awaitDraw waits for the next draw response, at most for the time wait.
+func (p *Proxy) awaitDraw(ctx context.Context, wait time.Duration) {
 	next := p.nextDrawDone()
 	p.wakeDrawLoop()
 	timer := time.NewTimer(wait)
@@ -248,7 +265,6 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return p.wallet.Reserve(w, tokens, time.Now())
 }
 
 // borrow asks other routers in random order, at most maxLenders of them, until the
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -173,7 +173,7 @@
 		}
 		return nil
 	}
-	if err := x.p.reserve(x.ctx, x.workspace.Name, cost, x.route.FirstByteTarget, x.deadline); err != nil {
+	if err := x.p.reserve(x.ctx, x.workspace.Name, cost, x.route, x.deadline); err != nil {
 		if x.budgetExhausted(cost) {
 			status := x.p.wallet.Snapshot(x.workspace.Name, time.Now())
 			return poplar.Failf(poplar.StepReserve, poplar.CodeBudget,
@@ -207,6 +207,7 @@
 	}
 	x.used = used
 	x.p.wallet.Settle(x.workspace.Name, x.reserved, used)
+	x.p.wallet.NoteUse(x.workspace.Name, x.route.Rank, used, time.Now())
 }
 
 // maxEventTokens returns the maximum number of tokens in one event.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -341,6 +341,33 @@
 	assert.Equal(t, len(h.arrivals()), 0)
 }
 
+// TestBulkRequestIsRefusedWhileLastTokensAreKept has 60 of 1,000 tokens left, of which
+// urgent requests have just used 900. A request of a less urgent route is refused at
+// once and not sent; one of an urgent route is served.
+func TestBulkRequestIsRefusedWhileLastTokensAreKept(t *testing.T) {
+	h := newHarness(t, script{"a": {"stream 6"}})
+	next := testPlan()
+	next.Revision = 2
+	for i := range next.Routes {
+		if next.Routes[i].Name == "stream" {
+			next.Routes[i].Rank = 2
+		}
+	}
+	h.proxy.applyPlan(next)
+	budgets := wallet.NewBudgets()
+	grants := map[poplar.Workspace]wallet.Grant{"poor": {Tokens: 1000, Bound: true}}
+	budgets.Declare(grants)
+	budgets.ByWorkspace["poor"].ClosedIssued = 940
+	h.proxy.wallet.NoteUse("poor", 0, 900, time.Now())
+	h.proxy.wallet.Reserve("poor", 60, time.Now()) // makes a draw due
+	d, _ := h.proxy.wallet.NextDraw(grants, time.Now())
+	h.proxy.wallet.ApplyDraw(d, budgets.HandleDraw(d, time.Now().UnixMilli()), time.Now())
+	got := h.call(t.Context(), http.MethodPost, "stream", "p", "Prompt", "10")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(h.arrivals()), 0)
+	assert.Equal(t, h.call(t.Context(), http.MethodPost, "resumable", "p", "Prompt", "10").status, http.StatusOK)
+}
+
 // TestBudgetedPromptWithoutTokenCountIsRefused sends a prompt without a token
 // count for a workspace with a budget. The router cannot tell how many tokens to
 // reserve.
--- a/pkg/wallet/budgets.go
+++ b/pkg/wallet/budgets.go
@@ -53,6 +53,8 @@
 	// a draw with a smaller reserve is answered. From UnlockStart on the reserve
 	// unlocks linearly, and all of it is usable after UnlockTime.
 	Reserve poplar.Tokens `json:"reserve,omitempty"`
+	// Urgent is the recent use of tokens by urgent requests of the router.
+	Urgent UrgentUse `json:"urgent,omitzero"`
 }
 
 // UnlockTime is the time without an answer from the log after which a router may
@@ -100,6 +102,8 @@
 	// as spent.
 	Grant poplar.Tokens `json:"all"`
 	Spent poplar.Tokens `json:"used"`
+	// Urgent is the recent use of tokens by urgent requests of all routers.
+	Urgent UrgentUse `json:"urgent,omitzero"`
 }
 
 // DrawResponse is the response to a draw request.
@@ -147,6 +151,10 @@
 	Reserve        poplar.Tokens `json:"reserve,omitempty"`
 	UnlockStart    int64         `json:"heard,omitempty"`
 	UnlockStartLog int64         `json:"from,omitempty"`
+	// Urgent is the use by urgent requests that the router last reported, and
+	// UrgentBefore what its previous incarnation had reported.
+	Urgent       UrgentUse `json:"urgent,omitzero"`
+	UrgentBefore UrgentUse `json:"before,omitzero"`
 }
 
 // Router is the latest incarnation and draw number of a router.
@@ -175,6 +183,7 @@
 type accountSums struct {
 	outstanding poplar.Tokens // issued and not returned
 	held, spent poplar.Tokens
+	urgent      UrgentUse
 }
 
 // add adds an account, and remove takes it out before it is changed or deleted.
@@ -182,12 +191,14 @@
 	s.outstanding += a.Issued - a.Returned
 	s.held += a.Held
 	s.spent += a.Spent
+	s.urgent.add(a.Urgent)
 }
 
 func (s *accountSums) remove(a *Account) {
 	s.outstanding -= a.Issued - a.Returned
 	s.held -= a.Held
 	s.spent -= a.Spent
+	s.urgent.remove(a.Urgent)
 }
 
 // totals returns the sums over the accounts.
@@ -288,7 +299,8 @@
 		budget.ClosedIssued += a.Issued - a.Returned - intact
 		budget.ClosedSpent += a.Spent
 		budget.totals().remove(a)
-		delete(budget.Accounts, d.Holder.Name)
+		budget.Accounts[d.Holder.Name] = &Account{Urgent: a.Urgent, UrgentBefore: a.Urgent}
+		budget.totals().urgent.add(a.Urgent)
 		if tokens := a.Held - intact; tokens > 0 {
 			lost[name] = Loss{Tokens: tokens, Held: a.Held, Open: a.Open, Reserve: a.Reserve, UnlockedMillis: age.Milliseconds()}
 		}
@@ -320,12 +332,13 @@
 	a.Spent = max(a.Spent, e.Spent)
 	a.Reserve = min(max(e.Reserve, 0), a.Issued-a.Returned)
 	a.UnlockStart, a.UnlockStartLog, a.Open = d.UnlockStart, d.UnlockStartLog, e.Open
+	a.Urgent = a.UrgentBefore.after(e.Urgent, d.Uptime)
 	if e.Issued == a.Issued {
 		a.Issued += b.allot(e, a.Issued-a.Returned, routers)
 	}
 	a.Held = a.Issued + e.NetBorrowed - e.Returned - e.Spent
 	b.totals().add(a)
-	return BudgetStatus{Issued: a.Issued, Free: b.free(), Remaining: b.remaining(), Grant: b.Grant, Spent: b.spent()}
+	return BudgetStatus{Issued: a.Issued, Free: b.free(), Remaining: b.remaining(), Grant: b.Grant, Spent: b.spent(), Urgent: b.totals().urgent}
 }
 
 // allot returns the number of tokens to issue for an entry of the router whose
--- a/pkg/wallet/load_test.go
+++ b/pkg/wallet/load_test.go
@@ -56,12 +56,13 @@
 	maxOutput, output        poplar.Tokens
 	onTimeCredit, lateCredit float64
 	targetTime               time.Duration
+	rank                     int // 0 is the most urgent
 }
 
 var requestMix = []requestClass{
-	{share: 0.19, meanPrompt: 6610, spread: 1.1, maxPrompt: 54_600, maxOutput: 1122, output: 384, onTimeCredit: 2.8, lateCredit: 1.3, targetTime: 1500 * time.Millisecond},
+	{share: 0.19, meanPrompt: 6610, spread: 1.1, maxPrompt: 54_600, maxOutput: 1122, output: 384, onTimeCredit: 2.8, lateCredit: 1.3, targetTime: 1500 * time.Millisecond, rank: 2},
 	{share: 0.52, meanPrompt: 628, spread: 0.8, maxPrompt: 3310, maxOutput: 954, output: 292, onTimeCredit: 2.9, lateCredit: 0.35, targetTime: 500 * time.Millisecond},
-	{share: 0.29, meanPrompt: 1800, spread: 1.0, maxPrompt: 6870, maxOutput: 90, output: 24, onTimeCredit: 0.59, lateCredit: 0.17, targetTime: 500 * time.Millisecond},
+	{share: 0.29, meanPrompt: 1800, spread: 1.0, maxPrompt: 6870, maxOutput: 90, output: 24, onTimeCredit: 0.59, lateCredit: 0.17, targetTime: 500 * time.Millisecond, rank: 1},
 }
 
 // scenario is a line of testdata/load.txt.
@@ -71,6 +72,7 @@
 	restartAll, restartHalf float64 // when all or half of the routers restart, in seconds; 0 for never
 	minCredit               float64
 	minLargeCredit          float64
+	minUrgentCredit         float64
 	routers, workspaces     int
 	callers                 int // number of callers, each of which sends to one router first; 0 for many
 }
@@ -114,6 +116,7 @@
 // runningRequest is a request that holds a reservation.
 type runningRequest struct {
 	wallet         *Wallet
+	rank           int
 	reserved, used poplar.Tokens
 	ends           float64
 }
@@ -134,6 +137,7 @@
 	running         []runningRequest
 	total           credit
 	large           credit
+	urgent          credit
 }
 
 func newSimulation(sc scenario, seed uint64) *simulation {
@@ -240,6 +244,7 @@
 			continue
 		}
 		r.wallet.Settle(testWorkspace, r.reserved, r.used)
+		r.wallet.NoteUse(testWorkspace, r.rank, r.used, s.now())
 	}
 	s.running = running
 }
@@ -268,6 +273,9 @@
 	if r.prompt >= largePrompt {
 		s.large.add(c)
 	}
+	if r.class.rank == 0 {
+		s.urgent.add(c)
+	}
 }
 
 // tryAdmit tries to admit a request. It returns true when the request was admitted
@@ -278,6 +286,9 @@
 		return false
 	}
 	w := s.wallets[r.router]
+	if w.KeptFrom(testWorkspace, r.class.rank) {
+		return s.refuse(r)
+	}
 	if w.Reserve(testWorkspace, r.cost(), s.now()) {
 		s.serve(r)
 		return true
@@ -295,13 +306,21 @@
 	switch {
 	case s.partitioned() && s.elapsed-r.sent+retryInterval.Seconds() < waitFraction*r.class.targetTime.Seconds():
 		r.retryTime = s.elapsed + retryInterval.Seconds()
-	case !r.retried:
-		r.sent = s.elapsed + callerRetryDelay.Seconds()
-		r.retryTime, r.retried, r.awaitedDraw = r.sent, true, false
-		r.router = (r.router + 1 + s.random.IntN(s.scenario.routers-1)) % s.scenario.routers
+		return false
 	default:
+		return s.refuse(r)
+	}
+}
+
+// refuse refuses a request, whose caller tries once more at another router. It
+// returns true when the caller has given up.
+func (s *simulation) refuse(r *waitingRequest) bool {
+	if r.retried {
 		return true
 	}
+	r.sent = s.elapsed + callerRetryDelay.Seconds()
+	r.retryTime, r.retried, r.awaitedDraw = r.sent, true, false
+	r.router = (r.router + 1 + s.random.IntN(s.scenario.routers-1)) % s.scenario.routers
 	return false
 }
 
@@ -334,7 +353,7 @@
 	s.addCredit(r, credit{earned: earned * r.creditFactor()})
 	const perToken = 0.004 // seconds
 	s.running = append(s.running, runningRequest{
-		wallet: s.wallets[r.router], reserved: r.cost(), used: r.prompt + r.class.output,
+		wallet: s.wallets[r.router], rank: r.class.rank, reserved: r.cost(), used: r.prompt + r.class.output,
 		ends: s.elapsed + firstByteLatency.Seconds() + perToken*float64(r.class.output),
 	})
 }
@@ -351,20 +370,22 @@
 		}
 		var sc scenario
 		_, err := fmt.Sscan(lines.Text(), &sc.name, &sc.rate, &sc.grantRatio, &sc.restartAll, &sc.restartHalf, &sc.minCredit, &sc.minLargeCredit,
-			&sc.routers, &sc.workspaces, &sc.callers)
+			&sc.minUrgentCredit, &sc.routers, &sc.workspaces, &sc.callers)
 		assert.NilError(t, err, lines.Text())
 		t.Run(sc.name, func(t *testing.T) {
 			t.Parallel()
-			var total, large credit
+			var total, large, urgent credit
 			for seed := range sc.seeds() {
 				s := newSimulation(sc, seed)
 				s.run()
 				total.add(s.total)
 				large.add(s.large)
+				urgent.add(s.urgent)
 			}
-			t.Logf("credit %.3f, of large prompts %.3f", total.ratio(), large.ratio())
+			t.Logf("credit %.3f, of large prompts %.3f, of urgent requests %.3f", total.ratio(), large.ratio(), urgent.ratio())
 			assert.Assert(t, total.ratio() >= sc.minCredit, "callers get %.3f of the credit", total.ratio())
 			assert.Assert(t, large.ratio() >= sc.minLargeCredit, "callers with large prompts get %.3f of the credit", large.ratio())
+			assert.Assert(t, urgent.ratio() >= sc.minUrgentCredit, "callers with urgent requests get %.3f of the credit", urgent.ratio())
 		})
 	}
 }
--- a/pkg/wallet/wallet.go
+++ b/pkg/wallet/wallet.go
@@ -113,6 +113,8 @@
 	largestEver                      float64       // tokens of the largest request ever
 	demandUpdated                    time.Time     // invariant: when demandRate and recentLargest were last decayed
 	reported                         DrawEntry     // invariant: the last one that the log answered
+	urgent                           urgentMeter
+	kept                             bool // invariant: true if tokens were kept from a request since the last draw response
 }
 
 // reportedReserve is a reserve that was named in a draw request.
@@ -279,6 +281,7 @@
 		}
 		b := w.balance(name)
 		b.addDemand(0, now)
+		b.urgent.decay(now)
 		entry, due := b.nextEntry(grant.Tokens, w.policy, w.routerCount, now)
 		age := b.reserveAge(now)
 		switch {
@@ -404,10 +407,11 @@
 		Issued: b.issued, Returned: b.returned, Spent: b.spent, Open: b.open, NetBorrowed: b.borrowed - b.lent, Reserve: newReserve,
 		Needed:  max(b.largestWaiting-have, 0),
 		Desired: max(need+reserve-have, 0),
+		Urgent:  b.urgent.use(),
 	}
 	due := !b.hasStatus || b.largestWaiting > 0 || e.Desired > (ready+reserve)/dueDivisor || (b.confirmedReserve.tokens > 0 && newReserve == 0) ||
 		b.returned != b.reported.Returned || float64(b.spent-b.reported.Spent) > reportFraction*float64(grant) ||
-		e.NetBorrowed != b.reported.NetBorrowed
+		e.NetBorrowed != b.reported.NetBorrowed || b.urgent.fell(b.reported.Urgent) || b.kept
 	return e, due
 }
 
@@ -430,6 +434,6 @@
 		b.status, b.statusTime, b.hasStatus = status, w.lastResponse, true
 		b.reported = d.Entries[name]
 		b.confirmedReserve, b.pendingReserve = reportedReserve{tokens: b.reported.Reserve, unlockStart: w.unlockStart}, reportedReserve{}
-		b.largestWaiting = 0
+		b.largestWaiting, b.kept = 0, false
 	}
 }
