Find out at once whether an upstream crashed

Cause: a crash is a broken answer and then a refused connection within two seconds, at the same router. Which requests were in flight was known to one router, that the engine was gone to the next that happened to send it a request. Change: a router whose answer broke off connects to the upstream after 25, 125 and 525 ms, once for each incarnation, and reports a crash if the connection is refused. Only a refused connection is evidence now, no longer one that timed out: a cut network does that to all upstreams. Shown by: TestCrashIsFoundWithoutAnotherRequest, failing before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -203,7 +204,9 @@
 			return resultEnded
 		}
 		u.connectFailed(time.Now())
-		x.p.reportCrash(u)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			x.p.reportCrash(u)
+		}
 		x.p.log.Info("unreached", "id", x.env.ID, "upstream", string(u.name), "at", u.address, "error", err)
 		return resultNotSent
 	}
@@ -234,7 +237,7 @@
 	case resultBroken:
 		u.attemptFailed(time.Now())
 		if !x.retryTaken {
-			x.p.suspects.recordBroken(u, x.fingerprint(), time.Now())
+			x.recordBroken(u)
 		}
 	case resultDone:
 		x.clearSuspicion()
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"hash/fnv"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -41,6 +44,7 @@
 	mu             sync.Mutex
 	registry       *poison.Registry
 	brokenRequests map[incarnation][]brokenRequest // invariant: entries older than crashWindow are removed when one is added
+	probed         map[incarnation]time.Time       // invariant: when the last probe began; entries older than crashWindow are removed with the broken requests
 	unreported     []poison.Record                 // invariant: records not yet reported to the control daemons
 }
 
@@ -59,7 +63,7 @@
 func newSuspects() *suspects {
 	return &suspects{
 		registry:       poison.NewRegistry(poison.Settings{RefuseDuration: refusalTime, SuspectDuration: suspicionTime}),
-		brokenRequests: map[incarnation][]brokenRequest{},
+		brokenRequests: map[incarnation][]brokenRequest{}, probed: map[incarnation]time.Time{},
 	}
 }
 
@@ -94,8 +98,9 @@
 	return until, verdict == poison.Refused
 }
 
-// recordBroken records that the response of u to a request broke off.
-func (s *suspects) recordBroken(u *upstream, fp poison.Fingerprint, now time.Time) {
+// recordBroken records that the response of u to a request broke off. It reports
+// whether the upstream should be probed for a crash.
+func (s *suspects) recordBroken(u *upstream, fp poison.Fingerprint, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, list := range s.brokenRequests {
@@ -103,8 +108,18 @@
 			delete(s.brokenRequests, key)
 		}
 	}
+	for key, at := range s.probed {
+		if now.Sub(at) > crashWindow {
+			delete(s.probed, key)
+		}
+	}
 	key := incarnation{u.name, u.startTime}
 	s.brokenRequests[key] = append(s.brokenRequests[key], brokenRequest{fp, now})
+	if _, probed := s.probed[key]; probed {
+		return false
+	}
+	s.probed[key] = now
+	return true
 }
 
 // recordEnd records that the incarnation of an upstream has ended. It returns
@@ -206,6 +221,47 @@
 	}
 }
 
+// crashProbe finds out whether an upstream whose response broke off has crashed.
+// Otherwise only a router that happens to send it another request would notice, and
+// that one may not know which requests were in flight.
+type crashProbe struct {
+	proxy    *Proxy
+	upstream *upstream
+}
+
+// probeDelays are the times between the tries of a probe. Before the first one, all
+// requests in flight at the crash have broken off. A process that crashes may accept
+// connections for a moment longer than it keeps those that it has.
+var probeDelays = [...]time.Duration{25 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
+
+// run reports a crash when the upstream refuses a connection.
+func (c crashProbe) run() {
+	dialer := net.Dialer{Timeout: connectTimeout}
+	for _, delay := range probeDelays {
+		if !sleep(c.proxy.ctx, delay) {
+			return
+		}
+		conn, err := dialer.DialContext(c.proxy.ctx, "tcp4", c.upstream.address)
+		if err == nil {
+			conn.Close()
+			continue
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.upstream.connectFailed(time.Now())
+			c.proxy.reportCrash(c.upstream)
+		}
+		return
+	}
+}
+
+// recordBroken records that the response of an upstream broke off, and probes the
+// upstream, since that may have been a crash.
+func (x *exchange) recordBroken(u *upstream) {
+	if x.p.suspects.recordBroken(u, x.fingerprint(), time.Now()) {
+		go crashProbe{x.p, u}.run()
+	}
+}
+
 // checkSuspect refuses a request that crashed upstreams before.
 func (x *exchange) checkSuspect() *poplar.Error {
 	if !x.p.suspects.nonEmpty() {
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bufio"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -46,6 +48,36 @@
 	assert.Equal(t, len(h.proxy.suspects.takeUnreported()), 2, "both crashes must be reported to control daemons")
 }
 
+// TestCrashIsFoundWithoutAnotherRequest has an upstream that ends with its first
+// request. Nobody sends it another one, and no roster tells of its end.
+func TestCrashIsFoundWithoutAnotherRequest(t *testing.T) {
+	h := newHarness(t, script{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	h.proxy.setUpstreams([]roster.Entry{{Announcement: roster.Announcement{
+		Name: "a", Service: "s", Address: listener.Addr().String(), Domain: "d", Slots: 8, State: roster.StateReady,
+	}}})
+	ended := make(chan error, 1)
+	go func() {
+		conn, err := listener.Accept()
+		listener.Close()
+		if err == nil {
+			_, err = http.ReadRequest(bufio.NewReader(conn))
+			conn.Close()
+		}
+		ended <- err
+	}()
+	assert.Equal(t, h.call(t.Context(), http.MethodPost, "unsafe", "k").status, http.StatusBadGateway)
+	assert.NilError(t, <-ended)
+	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
+		if records := h.proxy.suspects.takeUnreported(); len(records) > 0 {
+			assert.Equal(t, records[0].Crashes[0].Upstream, poplar.Upstream("a"))
+			return
+		}
+		assert.Assert(t, time.Now().Before(deadline), "the crash was not found")
+	}
+}
+
 // TestBrokenResponsesAreNotCrashes breaks responses of an upstream that is not
 // restarted: the request must not be refused.
 func TestBrokenResponsesAreNotCrashes(t *testing.T) {
