Clear a suspect by an answer with success only

A request that crashed an upstream and was then answered with a failure, as by an upstream that answers part of its requests with 500, was clear again and could crash two more. Cause: any whole answer cleared. Change: only one with a status of success does. Shown by: TestFailedAnswerDoesNotClear, failing before (200 in place of 503).

--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -274,9 +274,9 @@
 	return poplar.Failf(poplar.StepAdmit, poplar.CodePoison, "the request crashed upstreams before").Ran(poplar.RunNo).After(until)
 }
 
-// clearSuspicion clears a completed request of suspicion.
+// clearSuspicion clears a request that was answered with success.
 func (x *exchange) clearSuspicion() {
-	if x.p.suspects.nonEmpty() {
+	if x.p.suspects.nonEmpty() && x.status/100 == 2 {
 		x.p.reportSuspects(x.p.suspects.recordFinished(x.fingerprint(), time.Now()))
 	}
 }
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// TestFailedAnswerDoesNotClear answers a suspect with a failure of the upstream.
+func TestFailedAnswerDoesNotClear(t *testing.T) {
+	h := newHarness(t, script{"a": {"reset", "fail", "reset", "ok"}})
+	for _, want := range []int{http.StatusBadGateway, http.StatusInternalServerError, http.StatusBadGateway} {
+		assert.Equal(t, h.call(t.Context(), http.MethodPost, "unsafe", "k").status, want)
+		h.restart("a")
+		time.Sleep(2 * time.Millisecond) // records are ordered by time
+	}
+	assert.Equal(t, h.call(t.Context(), http.MethodPost, "unsafe", "k").status, http.StatusServiceUnavailable)
+}
+
 // TestBrokenResponsesAreNotCrashes breaks responses of an upstream that is not
 // restarted: the request must not be refused.
 func TestBrokenResponsesAreNotCrashes(t *testing.T) {
