Find parts of prompts that crash upstreams

Callers' streams broke off again and again: requests that are all different and share one part crash each engine that begins to answer them. Cause: a fingerprint covers a whole request, so no suspect is ever seen twice. Change: each part of a prompt but the last is a suspect too, if it was in flight at a crash in a request that had no answer yet. Three crashes apart from each other without an answer to any request with the part refuse it; an answer clears it. Parts that were in flight at the same crashes are tried one at a time. Control daemons send routers only the records that changed, since there are more of them now, and keep the newest when there are too many.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,7 +88,9 @@
 	routerList uint64                    // invariant: guarded by mu; grows with each change of the routers in watchers
 	poison     *poison.Registry          // invariant: guarded by mu
 	poisoned   uint64                    // invariant: guarded by mu; grows with each change of poison
-	asked      []poplar.Daemon           // invariant: guarded by mu; whom to ask for the log
+	// poisonedAt is the value of poisoned at the last change of each record.
+	poisonedAt map[poison.Fingerprint]uint64 // invariant: guarded by mu
+	asked      []poplar.Daemon               // invariant: guarded by mu; whom to ask for the log
 	loops      loops.Runner
 }
 
@@ -114,7 +116,7 @@
 		changed:  make(chan struct{}),
 		ended:    make(chan struct{}),
 		watchers: map[poplar.Daemon]watcher{},
-		poison:   poison.NewRegistry(poison.DefaultSettings()),
+		poison:   poison.NewRegistry(poison.DefaultSettings()), poisonedAt: map[poison.Fingerprint]uint64{},
 	}
 	c.announced = c.roster.Version()
 	c.asked = names(s.Seeds)
@@ -324,7 +326,9 @@
 func (c *Core) sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.poison.Sweep(c.settings.Clock.Now())
+	for _, fp := range c.poison.Sweep(c.settings.Clock.Now()) {
+		delete(c.poisonedAt, fp)
+	}
 	c.roster.Sweep(c.settings.Clock.Now())
 }
 
@@ -347,7 +351,14 @@
 func (c *Core) learn(records []poison.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.poison.MergeRecords(records) {
+	changed := false
+	for _, r := range records {
+		if c.poison.MergeRecords([]poison.Record{r}) {
+			c.poisonedAt[r.Fingerprint] = c.poisoned + 1
+			changed = true
+		}
+	}
+	if changed {
 		c.poisoned++
 		c.announce()
 	}
--- a/internal/core/proto.go
+++ b/internal/core/proto.go
@@ -54,7 +54,8 @@
 	// upstreams or, with Delta, those that changed since the question's Roster.
 	Entries []roster.Entry `json:"list,omitempty"`
 	Delta   bool           `json:"delta,omitempty"`
-	// Records is set when Poison differs from the question.
+	// Records is set when Poison differs from the question. It holds the records that
+	// changed since, or all in the first answer of a daemon.
 	Poison  uint64          `json:"poison,omitempty"`
 	Records []poison.Record `json:"records,omitempty"`
 	// ControlAddrs are the peer addresses of the control daemons.
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -62,7 +62,11 @@
 		seen.Entries, seen.Delta = c.roster.EntriesSince(w.Roster), true
 	}
 	if w.Incarnation != c.life || w.Poison != seen.Poison {
-		seen.Records = c.poison.Records(mostRecords)
+		for _, r := range c.poison.Records(mostRecords) {
+			if w.Incarnation != c.life || c.poisonedAt[r.Fingerprint] > w.Poison {
+				seen.Records = append(seen.Records, r)
+			}
+		}
 	}
 	if w.Incarnation != c.life || w.RouterList != seen.RouterList {
 		for _, r := range c.watchers {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -120,7 +121,7 @@
 		model:        place.DefaultCostModel(),
 		wallet:       wallet.NewWallet(s.Holder, wallet.DefaultPolicy(), time.Now()),
 		metrics:      newMetrics(s.Vars),
-		suspects:     newSuspects(),
+		suspects:     newSuspects(rand.Float64()),
 		reportWake:   make(chan struct{}, 1),
 		drawWake:     make(chan struct{}, 1),
 		drawDone:     make(chan struct{}),
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -39,6 +39,9 @@
 	env.Wait = time.Duration(wait) * time.Millisecond
 	prompt, _ := strconv.Atoi(r.Header.Get("Prompt"))
 	env.Prompt, env.Output = poplar.Tokens(prompt), poplar.Tokens(prompt)
+	for _, name := range strings.Fields(r.Header.Get("Parts")) {
+		env.Parts = append(env.Parts, poplar.Part{Name: name, Tokens: 1})
+	}
 	return env, nil
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -51,6 +51,9 @@
 			return resultDone
 		}
 		a.startStream(resp)
+		if x.events == begunEvents {
+			x.clearParts()
+		}
 		if _, err := x.w.Write(event); err != nil {
 			a.err = err
 			return resultEnded
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -6,6 +6,7 @@
 	"errors"
 	"hash/fnv"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,9 @@
 	// crashWindow is the maximum time between a broken response and the
 	// evidence that the upstream has crashed.
 	crashWindow = 2 * time.Second
+	// begunEvents is the number of delivered events from which a stream counts as
+	// begun, so that its parts do not crash upstreams.
+	begunEvents = 2
 	// reportTimeout limits a report to a control daemon, and reportPeriod is
 	// the longest delay of a report.
 	reportTimeout = 500 * time.Millisecond
@@ -41,6 +45,8 @@
 // also refuse connections or have been restarted. suspects is safe for
 // concurrent use.
 type suspects struct {
+	position float64 // invariant: from 0 to 1, differs between routers
+
 	mu             sync.Mutex
 	registry       *poison.Registry
 	brokenRequests map[incarnation][]brokenRequest // invariant: entries older than crashWindow are removed when one is added
@@ -57,11 +63,14 @@
 // brokenRequest is a request whose response broke off.
 type brokenRequest struct {
 	fingerprint poison.Fingerprint
+	parts       []poison.Fingerprint // of the prompt
+	begun       bool                 // true if the stream had delivered begunEvents
 	at          time.Time
 }
 
-func newSuspects() *suspects {
+func newSuspects(position float64) *suspects {
 	return &suspects{
+		position: position,
 		registry:       poison.NewRegistry(poison.Settings{RefuseDuration: refusalTime, SuspectDuration: suspicionTime}),
 		brokenRequests: map[incarnation][]brokenRequest{}, probed: map[incarnation]time.Time{},
 	}
@@ -81,6 +90,21 @@
 	return poison.Fingerprint(h.Sum64())
 }
 
+// partFingerprints returns hashes of the parts of the prompt that other requests may
+// share: all but the last.
+func (x *exchange) partFingerprints() []poison.Fingerprint {
+	if len(x.env.Parts) < 2 {
+		return nil
+	}
+	fingerprints := make([]poison.Fingerprint, len(x.env.Parts)-1)
+	for i := range fingerprints {
+		h := fnv.New64a()
+		h.Write([]byte(x.env.Parts[i].Name))
+		fingerprints[i] = poison.Fingerprint(h.Sum64())
+	}
+	return fingerprints
+}
+
 // nonEmpty reports whether there are any records. Fingerprints are computed
 // only if there are.
 func (s *suspects) nonEmpty() bool {
@@ -89,18 +113,25 @@
 	return s.registry.Len() > 0
 }
 
-// refused reports whether a request must be refused because it crashed
-// upstreams, and until when.
-func (s *suspects) refused(fp poison.Fingerprint, now time.Time) (time.Time, bool) {
+// refused reports whether a request must be refused because it or a part of its
+// prompt crashed upstreams, and until when. If it is let through as a trial of a part,
+// refused returns the record to report.
+func (s *suspects) refused(fp poison.Fingerprint, parts []poison.Fingerprint, now time.Time) (until time.Time, refused bool, trial []poison.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	verdict, until := s.registry.Check(fp, now)
-	return until, verdict == poison.Refused
+	if verdict, until := s.registry.Check(fp, now); verdict == poison.Refused {
+		return until, true, nil
+	}
+	verdict, part, until := s.registry.CheckParts(parts, s.position, now)
+	if verdict == poison.Isolated {
+		trial = []poison.Record{s.registry.StartTrial(part, now)}
+	}
+	return until, verdict == poison.Refused, trial
 }
 
 // recordBroken records that the response of u to a request broke off. It reports
 // whether the upstream should be probed for a crash.
-func (s *suspects) recordBroken(u *upstream, fp poison.Fingerprint, now time.Time) bool {
+func (s *suspects) recordBroken(u *upstream, b brokenRequest, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, list := range s.brokenRequests {
@@ -114,8 +145,9 @@
 		}
 	}
 	key := incarnation{u.name, u.startTime}
-	s.brokenRequests[key] = append(s.brokenRequests[key], brokenRequest{fp, now})
-	if _, probed := s.probed[key]; probed {
+	b.at = now
+	s.brokenRequests[key] = append(s.brokenRequests[key], b)
+	if _, probed := s.probed[key]; probed || b.begun {
 		return false
 	}
 	s.probed[key] = now
@@ -128,31 +160,43 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := incarnation{u.name, u.startTime}
-	var fingerprints []poison.Fingerprint
+	var requests, parts []poison.Fingerprint
+	begun := map[poison.Fingerprint]bool{}
 	for _, b := range s.brokenRequests[key] {
-		if now.Sub(b.at) <= crashWindow {
-			fingerprints = append(fingerprints, b.fingerprint)
+		if now.Sub(b.at) > crashWindow {
+			continue
+		}
+		requests = append(requests, b.fingerprint)
+		for _, fp := range b.parts {
+			if begun[fp] = begun[fp] || b.begun; !b.begun {
+				parts = append(parts, fp)
+			}
 		}
 	}
 	delete(s.brokenRequests, key)
-	if len(fingerprints) == 0 {
+	if len(requests) == 0 {
 		return nil
 	}
-	return s.registry.RecordCrash(u.name, uint64(u.startTime), fingerprints, now)
+	parts = slices.DeleteFunc(parts, func(fp poison.Fingerprint) bool { return begun[fp] })
+	records := s.registry.RecordCrash(u.name, uint64(u.startTime), requests, now)
+	return append(records, s.registry.RecordPartCrash(u.name, uint64(u.startTime), parts, now)...)
 }
 
-// recordFinished clears a request that completed. It returns the record to
-// report if the request was a suspect.
-func (s *suspects) recordFinished(fp poison.Fingerprint, now time.Time) []poison.Record {
+// recordFinished clears a request that completed, and the parts of its prompt. It
+// returns the records to report of those that were suspects.
+func (s *suspects) recordFinished(fingerprints []poison.Fingerprint, now time.Time) []poison.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if verdict, _ := s.registry.Check(fp, now); verdict == poison.Clean {
-		return nil
-	}
-	if r, known := s.registry.RecordFinish(fp, true, now); known {
-		return []poison.Record{r}
+	var records []poison.Record
+	for _, fp := range fingerprints {
+		if verdict, _ := s.registry.Check(fp, now); verdict == poison.Clean {
+			continue
+		}
+		if r, known := s.registry.RecordFinish(fp, true, now); known {
+			records = append(records, r)
+		}
 	}
-	return nil
+	return records
 }
 
 // learn merges the records of other routers.
@@ -190,15 +234,20 @@
 func (p *Proxy) reportCrash(u *upstream) { p.reportSuspects(p.suspects.recordEnd(u, time.Now())) }
 
 // reportSuspects queues records for the control daemons, which forward them to
-// all routers.
+// all routers. Crashes are reported at once.
 func (p *Proxy) reportSuspects(records []poison.Record) {
 	if len(records) == 0 {
 		return
 	}
+	crashed := false
 	for _, r := range records {
-		p.log.Warn("suspect", "print", uint64(r.Fingerprint), "crashes", len(r.Crashes), "cleared", !r.Cleared.IsZero())
+		crashed = crashed || len(r.Crashes) > 0
+		p.log.Warn("suspect", "print", uint64(r.Fingerprint), "part", r.Part, "crashes", len(r.Crashes), "cleared", !r.Cleared.IsZero())
 	}
 	p.suspects.queue(records)
+	if !crashed {
+		return
+	}
 	select {
 	case p.reportWake <- struct{}{}:
 	default:
@@ -255,28 +304,40 @@
 }
 
 // recordBroken records that the response of an upstream broke off, and probes the
-// upstream, since that may have been a crash.
+// upstream if that may have been a crash.
 func (x *exchange) recordBroken(u *upstream) {
-	if x.p.suspects.recordBroken(u, x.fingerprint(), time.Now()) {
+	b := brokenRequest{fingerprint: x.fingerprint(), parts: x.partFingerprints(), begun: x.events >= begunEvents}
+	if x.p.suspects.recordBroken(u, b, time.Now()) {
 		go crashProbe{x.p, u}.run()
 	}
 }
 
-// checkSuspect refuses a request that crashed upstreams before.
+// checkSuspect refuses a request that crashed upstreams before, or a part of whose
+// prompt did.
 func (x *exchange) checkSuspect() *poplar.Error {
 	if !x.p.suspects.nonEmpty() {
 		return nil
 	}
-	until, refused := x.p.suspects.refused(x.fingerprint(), x.start)
+	until, refused, trial := x.p.suspects.refused(x.fingerprint(), x.partFingerprints(), x.start)
+	x.p.reportSuspects(trial)
 	if !refused {
 		return nil
 	}
-	return poplar.Failf(poplar.StepAdmit, poplar.CodePoison, "the request crashed upstreams before").Ran(poplar.RunNo).After(until)
+	return poplar.Failf(poplar.StepAdmit, poplar.CodePoison, "the request or a part of its prompt crashed upstreams before").
+		Ran(poplar.RunNo).After(until)
+}
+
+// clearParts clears the parts of the prompt of a request whose answer has begun.
+func (x *exchange) clearParts() {
+	if x.p.suspects.nonEmpty() {
+		x.p.reportSuspects(x.p.suspects.recordFinished(x.partFingerprints(), time.Now()))
+	}
 }
 
-// clearSuspicion clears a request that was answered with success.
+// clearSuspicion clears a request that was answered with success, and the parts of
+// its prompt.
 func (x *exchange) clearSuspicion() {
 	if x.p.suspects.nonEmpty() && x.status/100 == 2 {
-		x.p.reportSuspects(x.p.suspects.recordFinished(x.fingerprint(), time.Now()))
+		x.p.reportSuspects(x.p.suspects.recordFinished(append(x.partFingerprints(), x.fingerprint()), time.Now()))
 	}
 }
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -17,8 +17,8 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
-func drawRecord(t *rapid.T) Record {
-	r := Record{Fingerprint: 1}
+func drawRecord(t *rapid.T, part bool) Record {
+	r := Record{Fingerprint: 1, Part: part}
 	n := rapid.IntRange(0, 6).Draw(t, "n")
 	for range n {
 		c := Crash{
@@ -27,7 +27,7 @@
 			At:          epoch.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "at")) * time.Second),
 			Concurrent:  rapid.IntRange(0, 3).Draw(t, "beside"),
 		}
-		r = Merge(r, Record{Fingerprint: 1, Crashes: []Crash{c}})
+		r = Merge(r, Record{Fingerprint: 1, Part: part, Crashes: []Crash{c}})
 	}
 	r.Cleared = epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "cleared")) * time.Second)
 	r.IsolatedOn = poplar.Upstream(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "place"))
@@ -39,7 +39,8 @@
 // Merge is commutative, associative and idempotent.
 func TestMerge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b, c := drawRecord(t), drawRecord(t), drawRecord(t)
+		part := rapid.Bool().Draw(t, "part")
+		a, b, c := drawRecord(t, part), drawRecord(t, part), drawRecord(t, part)
 		assert.Assert(t, equalRecords(Merge(a, b), Merge(b, a)), "commutative")
 		assert.Assert(t, equalRecords(Merge(Merge(a, b), c), Merge(a, Merge(b, c))), "associative")
 		assert.Assert(t, equalRecords(Merge(a, a), a), "idempotent")
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -8,9 +8,9 @@
 
 // Daemons exchange records. The structs below are wire messages.
 
-// Fingerprint identifies the content of a request. It is a hash that the caller
-// of this package computes from the method, the URI, the body and possibly more,
-// but not from the idempotency key.
+// Fingerprint identifies the content of a request or a part of prompts. It is a
+// hash that the caller of this package computes: for a request from the method, the
+// URI, the body and possibly more, but not from the idempotency key.
 type Fingerprint uint64
 
 // Crash is one crash of an upstream that had the fingerprint in flight.
@@ -28,7 +28,9 @@
 // Record is what the fleet knows about one fingerprint.
 type Record struct {
 	Fingerprint Fingerprint `json:"print"`
-	Crashes     []Crash     `json:"crashes"`
+	// Part is true if the fingerprint is that of a part of prompts.
+	Part    bool    `json:"part,omitempty"`
+	Crashes []Crash `json:"crashes"`
 	// Cleared is the latest time at which an operator released the fingerprint
 	// or it ran alone to its end. Crashes up to this time do not count.
 	Cleared time.Time `json:"cleared"`
@@ -39,14 +41,17 @@
 	IsolatedUntil time.Time       `json:"until,omitzero"`
 }
 
-// maxCrashes bounds the crashes stored in a record. The latest ones are
-// retained.
-const maxCrashes = 4
+// maxCrashes and maxPartCrashes bound the crashes stored in a record of a request and
+// of a part. The latest ones are retained.
+const (
+	maxCrashes     = 4
+	maxPartCrashes = 32
+)
 
 // Merge returns the union of what a and b report about the same fingerprint. It
 // is commutative, associative and idempotent.
 func Merge(a, b Record) Record {
-	out := Record{Fingerprint: a.Fingerprint, Cleared: a.Cleared}
+	out := Record{Fingerprint: a.Fingerprint, Part: a.Part || b.Part, Cleared: a.Cleared}
 	if b.Cleared.After(out.Cleared) {
 		out.Cleared = b.Cleared
 	}
@@ -58,6 +63,10 @@
 	for _, c := range b.Crashes {
 		out.Crashes = addCrash(out.Crashes, c)
 	}
-	out.Crashes = latestCrashes(out.Crashes, out.Cleared)
+	limit := maxCrashes
+	if out.Part {
+		limit = maxPartCrashes
+	}
+	out.Crashes = latestCrashes(out.Crashes, out.Cleared, limit)
 	return out
 }
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -150,26 +150,40 @@
 	return changed
 }
 
-// Records returns the records sorted by fingerprint, at most limit of them. A
-// limit of 0 means no limit.
+// Records returns the records sorted by fingerprint, at most limit of them: those
+// with the latest news. A limit of 0 means no limit.
 func (reg *Registry) Records(limit int) []Record {
 	out := make([]Record, 0, len(reg.records))
 	for _, r := range reg.records {
 		out = append(out, r)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Fingerprint < out[j].Fingerprint })
 	if limit > 0 && len(out) > limit {
+		sort.Slice(out, func(i, j int) bool { return out[i].latest().After(out[j].latest()) })
 		out = out[:limit]
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Fingerprint < out[j].Fingerprint })
 	return out
 }
 
-// Sweep deletes expired records.
-func (reg *Registry) Sweep(now time.Time) {
+// latest returns the time of the last crash or, if it is later, of the clearing.
+func (r Record) latest() time.Time {
+	at := r.Cleared
+	for _, c := range r.Crashes {
+		if c.At.After(at) {
+			at = c.At
+		}
+	}
+	return at
+}
+
+// Sweep deletes expired records and returns their fingerprints.
+func (reg *Registry) Sweep(now time.Time) []Fingerprint {
+	var expired []Fingerprint
 	for fp, r := range reg.records {
 		v, _ := reg.verdict(r, now)
 		if v == Clean && now.Sub(r.Cleared) > reg.settings.RefuseDuration && !hasRecentCrash(r, reg.settings, now) {
 			delete(reg.records, fp)
+			expired = append(expired, fp)
 		}
 	}
 	for inc, fingerprints := range reg.culprits {
@@ -178,6 +192,7 @@
 			delete(reg.culprits, inc)
 		}
 	}
+	return expired
 }
 
 // hasRecentCrash reports whether a crash of r is recent enough to count.
@@ -208,8 +223,12 @@
 }
 
 // isCulprit reports whether r certainly caused its crashes: there are at least
-// two, and in one of them it was the only request in flight.
+// two, and in one of them it was the only request in flight. Parts do not take
+// crashes off requests.
 func isCulprit(r Record) bool {
+	if r.Part {
+		return false
+	}
 	alone := slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Concurrent == 0 })
 	return alone && len(r.Crashes) >= crashLimit
 }
@@ -232,6 +251,9 @@
 // restriction. A crash that has another culprit counts only if r is a culprit
 // itself.
 func (reg *Registry) verdict(r Record, now time.Time) (Verdict, time.Time) {
+	if r.Part {
+		return reg.partVerdict(r, now)
+	}
 	s := reg.settings
 	last, count := time.Time{}, 0
 	for _, c := range r.Crashes {
@@ -294,13 +316,12 @@
 	return append(list, c)
 }
 
-// latestCrashes returns the crashes after cleared, sorted, at most maxCrashes
-// of them.
-func latestCrashes(list []Crash, cleared time.Time) []Crash {
+// latestCrashes returns the crashes after cleared, sorted, at most limit of them.
+func latestCrashes(list []Crash, cleared time.Time, limit int) []Crash {
 	list = slices.DeleteFunc(list, func(c Crash) bool { return !c.At.After(cleared) })
 	sort.Slice(list, func(i, j int) bool { return crashLess(list[i], list[j]) })
-	if len(list) > maxCrashes {
-		list = list[len(list)-maxCrashes:]
+	if len(list) > limit {
+		list = list[len(list)-limit:]
 	}
 	return list
 }
