--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -70,7 +70,7 @@
 
 func newSuspects(position float64) *suspects {
 	return &suspects{
-		position: position,
+		position:       position,
 		registry:       poison.NewRegistry(poison.Settings{RefuseDuration: refusalTime, SuspectDuration: suspicionTime}),
 		brokenRequests: map[incarnation][]brokenRequest{}, probed: map[incarnation]time.Time{},
 	}
@@ -119,7 +119,8 @@
 func (s *suspects) refused(fp poison.Fingerprint, parts []poison.Fingerprint, now time.Time) (until time.Time, refused bool, trial []poison.Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if verdict, until := s.registry.Check(fp, now); verdict == poison.Refused {
+	verdict, until := s.registry.Check(fp, now)
+	if verdict == poison.Refused {
 		return until, true, nil
 	}
 	verdict, part, until := s.registry.CheckParts(parts, s.position, now)
