Tell a stream that ends inside an event from a complete one

An engine may answer with neither a length nor chunks and end with its connection. A stream that ended so in the middle of an event was delivered as complete: its caller saw a whole answer with its last event cut off. Cause: the end of the connection is the end of such an answer, and nothing else was looked at. Change: if such a stream ends inside an event it has been broken off, and is resumed or cut as any other. Shown by: three cases of TestResponses (bare 3, bare 0), failing before.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -152,6 +152,7 @@
 //   - pause: a complete stream with a pause that is longer than the stall timeout
 //   - stream N: the events up to N of 6; the response breaks off after event N,
 //     or is complete if N is 6
+//   - bare N: the same without a length or chunks; the connection is not reset
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	u.harness.mu.Lock()
@@ -199,9 +200,28 @@
 		}
 	case "stream":
 		u.stream(w, r, arg)
+	case "bare":
+		u.bare(w, r, arg)
 	}
 }
 
+// bare sends a stream that has neither a length nor chunks and ends with its
+// connection.
+func (u *fakeUpstream) bare(w http.ResponseWriter, r *http.Request, arg string) {
+	conn, out, err := http.NewResponseController(w).Hijack()
+	assert.NilError(u.harness.t, err)
+	defer conn.Close()
+	fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Id"), u.name)
+	end, _ := strconv.Atoi(arg)
+	for i := range end {
+		fmt.Fprintf(out, "id: %d\ndata: %d\n\n", i+1, i+1)
+	}
+	if end < 6 {
+		fmt.Fprint(out, "id: 99\nda")
+	}
+	out.Flush()
+}
+
 func (u *fakeUpstream) stream(w http.ResponseWriter, r *http.Request, arg string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("After"))
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -23,6 +23,7 @@
 
 var (
 	errEventTooLong = errors.New("event exceeds the size limit")
+	errCutEvent     = errors.New("stream ended inside an event")
 	errEventOrder   = errors.New("event id is not greater than the previous one")
 )
 
@@ -45,6 +46,10 @@
 			return resultBroken
 		}
 		eof := err != nil
+		if eof && len(event) > 0 && unframed(resp) {
+			a.err = errCutEvent
+			return resultBroken
+		}
 		if eof && len(event) == 0 && a.gotFirstByte || eof && x.headerWritten {
 			a.complete = true
 			x.w.Write(event)
@@ -71,6 +76,12 @@
 	}
 }
 
+// unframed reports whether the response ends with its connection. Then only the end
+// of its last event shows that it is complete.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // eventBuffered reports whether another whole event is buffered, so that one
 // flush can send both.
 func eventBuffered(r *bufio.Reader) bool {
