Find messages of chats that crash engines at the serving fleet

Change: each message of a chat but the last is a part. Shown by: TestDeadlyMessageIsRefusedInAllRequests, failing without the parts (7 engines crashed, 5 allowed).

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -14,6 +14,7 @@
 	"poplarbend.example/poplar/internal/conf"
 	"poplarbend.example/poplar/pkg/admit"
 	"poplarbend.example/poplar/pkg/fair"
+	"poplarbend.example/poplar/pkg/poison"
 )
 
 // A call carries one request through the steps of the request path.
@@ -43,6 +44,7 @@
 	id     string     // request id sent to upstreams
 	body   []byte
 	digest uint64
+	parts  []poison.Fingerprint // of the prompt, that other requests may share
 	op     operation
 	ticket Ticket // nil while the call holds no admission ticket
 
--- a/internal/edge/completions.go
+++ b/internal/edge/completions.go
@@ -24,6 +24,7 @@
 			return nil, err
 		}
 		request.chat = chat
+		c.parts = request.sharedParts()
 		return request, nil
 	})
 }
--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -63,7 +63,8 @@
 	sentAt        time.Time
 	lastActivity  atomic.Int64 // Unix nanoseconds of the last bytes received
 	stallTimer    *time.Timer
-	gotFirstToken bool // true once the first token was recorded in the local state
+	gotFirstToken bool        // true once the first token was recorded in the local state
+	begun         atomic.Bool // true once a token arrived; unlike gotFirstToken, any goroutine may read it
 }
 
 // outgoingRequest describes a request to an upstream.
@@ -209,6 +210,8 @@
 func (h *hop) recordToken() {
 	if !h.gotFirstToken {
 		h.gotFirstToken = true
+		h.begun.Store(true)
+		h.call.edge.crashes.partsAnswered(h.call.parts, h.call.edge.conf.Clock.Now())
 		h.state.FirstToken(h.promptTokens)
 		if h.sample != nil {
 			h.limit.FirstToken(h.sample, h.call.edge.conf.Clock.Now())
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,10 @@
 // errPoisonous means that the request has crashed upstreams before.
 var errPoisonous = errors.New("the request crashed two upstreams that ran it")
 
+// errPoisonousPart means that requests with a part of the prompt have crashed
+// upstreams before.
+var errPoisonousPart = errors.New("a part of the prompt crashed upstreams in other requests")
+
 // brokenHop is a hop whose connection the upstream broke.
 type brokenHop struct {
 	hop *hop
@@ -38,6 +43,7 @@
 type crashTracker struct {
 	tracked   atomic.Int64 // number of records and of upstreams with broken hops; while it is 0, check and sweep take no lock
 	broadcast func([]poison.Record)
+	position  float64 // invariant: from 0 to 1, differs between daemons; see poison.Registry.CheckParts
 
 	mu       sync.Mutex
 	registry *poison.Registry                      // invariant: guarded by mu
@@ -47,7 +53,7 @@
 
 func newCrashTracker(broadcast func([]poison.Record)) *crashTracker {
 	return &crashTracker{
-		broadcast: broadcast, registry: poison.NewRegistry(poison.DefaultSettings()),
+		broadcast: broadcast, position: rand.Float64(), registry: poison.NewRegistry(poison.DefaultSettings()),
 		inFlight: map[poplar.Upstream]map[*hop]struct{}{}, broken: map[poplar.Upstream][]brokenHop{},
 	}
 }
@@ -63,6 +69,42 @@
 	return t.registry.Check(fingerprint, now)
 }
 
+// checkParts returns the verdict on the parts of a prompt and, if they are refused,
+// when the refusal ends. A trial of a part is published.
+func (t *crashTracker) checkParts(parts []poison.Fingerprint, now time.Time) (refused bool, until time.Time) {
+	if t.tracked.Load() == 0 {
+		return false, time.Time{}
+	}
+	t.mu.Lock()
+	verdict, part, until := t.registry.CheckParts(parts, t.position, now)
+	var records []poison.Record
+	if verdict == poison.Isolated {
+		records = append(records, t.registry.StartTrial(part, now))
+	}
+	t.mu.Unlock()
+	t.publish(records)
+	return verdict == poison.Refused, until
+}
+
+// partsAnswered clears the parts of a prompt to which an answer has begun.
+func (t *crashTracker) partsAnswered(parts []poison.Fingerprint, now time.Time) {
+	if t.tracked.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	var records []poison.Record
+	for _, fp := range parts {
+		if verdict, _ := t.registry.Check(fp, now); verdict == poison.Clean {
+			continue
+		}
+		if r, cleared := t.registry.RecordFinish(fp, true, now); cleared {
+			records = append(records, r)
+		}
+	}
+	t.mu.Unlock()
+	t.publish(records)
+}
+
 // earliestRun returns the time from which a suspect may run.
 func (t *crashTracker) earliestRun(fingerprint poison.Fingerprint) time.Time {
 	t.mu.Lock()
@@ -155,10 +197,11 @@
 // crash. It is called with mu held.
 func (t *crashTracker) recordCrash(upstream poplar.Upstream, incarnation uint64, now time.Time) ([]poison.Record, chan struct{}) {
 	published := make(chan struct{})
-	var fingerprints []poison.Fingerprint
+	var fingerprints, parts []poison.Fingerprint
 	for _, b := range t.broken[upstream] {
 		if b.hop.incarnation == incarnation && now.Sub(b.at) < crashWindow {
 			fingerprints = append(fingerprints, b.hop.fingerprint)
+			parts = append(parts, b.hop.unansweredParts()...)
 			b.hop.published = published
 		}
 	}
@@ -170,10 +213,20 @@
 	for h := range t.inFlight[upstream] {
 		if h.incarnation == incarnation && h.published == nil && h.sentAt.Before(now.Add(-time.Millisecond)) {
 			fingerprints = append(fingerprints, h.fingerprint)
+			parts = append(parts, h.unansweredParts()...)
 			h.published = published
 		}
 	}
-	return t.registry.RecordCrash(upstream, incarnation, fingerprints, now), published
+	records := t.registry.RecordCrash(upstream, incarnation, fingerprints, now)
+	return append(records, t.registry.RecordPartCrash(upstream, incarnation, parts, now)...), published
+}
+
+// unansweredParts returns the parts of the prompt if no token has arrived.
+func (h *hop) unansweredParts() []poison.Fingerprint {
+	if h.begun.Load() {
+		return nil
+	}
+	return h.call.parts
 }
 
 // learn merges the records of another daemon.
@@ -232,6 +285,9 @@
 // checkPoison returns an error for a request that has crashed too many
 // upstreams, and reports whether the request is a suspect that must run alone.
 func (c *call) checkPoison() (exclusive bool, err error) {
+	if refused, until := c.edge.crashes.checkParts(c.parts, c.edge.conf.Clock.Now()); refused {
+		return false, poplar.Fail(poplar.StepPick, poplar.CodePoison, errPoisonousPart).After(until)
+	}
 	verdict, until := c.edge.crashes.check(poison.Fingerprint(c.digest), c.edge.conf.Clock.Now())
 	switch verdict {
 	case poison.Refused:
--- a/internal/edge/prompt.go
+++ b/internal/edge/prompt.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/conf"
+	"poplarbend.example/poplar/pkg/poison"
 )
 
 // A completion request is decoded and priced before it is admitted.
@@ -83,6 +85,22 @@
 	return r, nil
 }
 
+// sharedParts returns the fingerprints of the messages of a chat that other requests
+// may share: all but the last.
+func (r *completionRequest) sharedParts() []poison.Fingerprint {
+	var messages []json.RawMessage
+	if !r.chat || json.Unmarshal(r.promptJSON, &messages) != nil || len(messages) < 2 {
+		return nil
+	}
+	parts := make([]poison.Fingerprint, len(messages)-1)
+	for i := range parts {
+		h := fnv.New64a()
+		h.Write(messages[i])
+		parts[i] = poison.Fingerprint(h.Sum64())
+	}
+	return parts
+}
+
 // maxTokens returns the maximum number of completion tokens.
 func (c *completionFields) maxTokens(model *conf.Model) (poplar.Tokens, error) {
 	limit := c.MaxTokens
--- a/internal/edge/upstream_protection_test.go
+++ b/internal/edge/upstream_protection_test.go
@@ -61,6 +61,42 @@
 	}
 }
 
+// TestDeadlyMessageIsRefusedInAllRequests sends chats that are all different and share
+// a message that crashes every engine. After few crashes such chats are refused, and
+// others are served.
+func TestDeadlyMessageIsRefusedInAllRequests(t *testing.T) {
+	h := newHarness(t, 100000)
+	_, s := h.startDaemon("a")
+	engines := make([]*fake.Engine, 8)
+	for i := range engines {
+		engines[i] = h.startEngine(fake.Settings{Name: poplar.Upstream(fmt.Sprint("e", i)), Step: time.Millisecond})
+	}
+	chat := func(message string, n int) string {
+		return fmt.Sprintf(`{"model":"small","messages":[{"role":"system","content":"all"},{"role":"system","content":%q},{"role":"user","content":"%d"}],"max_tokens":5,"stream":true}`, message, n)
+	}
+	post := func(body string) *http.Response { return h.request(s, "POST", "/v1/chat/completions", body) }
+	const most = 6 // chats; each crashes two engines at most
+	refused := 0
+	for n := range most {
+		response := post(chat(fake.CrashMark, n))
+		text, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		if strings.Contains(string(text), errPoisonousPart.Error()) {
+			refused++
+		}
+		assert.Assert(t, readStream(post(chat("hello", n)).Body).done)
+		time.Sleep(time.Second / 5) // crashes in quick succession count as one
+	}
+	dead := 0
+	for _, e := range engines {
+		if _, err := checkListening(e.Address()); err != nil {
+			dead++
+		}
+	}
+	assert.Assert(t, dead <= 5, "%d engines crashed", dead)
+	assert.Assert(t, refused >= 3, "%d of %d chats were refused for a part", refused, most)
+}
+
 // TestCrashIsPublishedBeforeResponse crashes an engine during two streams that
 // cannot be resumed, while the exchange of crash records is slow. A caller that
 // sees the error may retry at another router, so that router must have the
