Make one piece of what the crash records of routers and edge share

Read as a newcomer: hashing of parts and clearing by an answer stood in internal/proxy and in internal/edge, the test for an answer without a length in internal/proxy and in internal/conns. They are poison.PartFingerprint, Registry.RecordAnswered and conns.Unbounded now.

--- a/internal/conns/call.go
+++ b/internal/conns/call.go
@@ -169,16 +169,17 @@
 	default:
 		whole = false
 	}
-	if !alive || !whole || k.resp == nil || k.resp.Close || k.unbounded() || k.conn.reader.Buffered() > 0 {
+	if !alive || !whole || k.resp == nil || k.resp.Close || Unbounded(k.resp) || k.conn.reader.Buffered() > 0 {
 		k.conn.Close()
 		return
 	}
 	k.pool.put(k.conn, keepAlive(k.resp.Header))
 }
 
-// unbounded reports whether the answer ends with its connection.
-func (k *Call) unbounded() bool {
-	return k.resp.ContentLength < 0 && len(k.resp.TransferEncoding) == 0
+// Unbounded reports whether the answer has neither a length nor chunks, and ends with
+// its connection.
+func Unbounded(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
 // keepAlive returns the time for which the upstream keeps an idle connection, or
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -92,15 +92,7 @@
 		return
 	}
 	t.mu.Lock()
-	var records []poison.Record
-	for _, fp := range parts {
-		if verdict, _ := t.registry.Check(fp, now); verdict == poison.Clean {
-			continue
-		}
-		if r, cleared := t.registry.RecordFinish(fp, true, now); cleared {
-			records = append(records, r)
-		}
-	}
+	records := t.registry.RecordAnswered(parts, now)
 	t.mu.Unlock()
 	t.publish(records)
 }
--- a/internal/edge/prompt.go
+++ b/internal/edge/prompt.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math"
 	"net/http"
@@ -94,9 +93,7 @@
 	}
 	parts := make([]poison.Fingerprint, len(messages)-1)
 	for i := range parts {
-		h := fnv.New64a()
-		h.Write(messages[i])
-		parts[i] = poison.Fingerprint(h.Sum64())
+		parts[i] = poison.PartFingerprint(messages[i])
 	}
 	return parts
 }
--- a/internal/edge/upstream_protection_test.go
+++ b/internal/edge/upstream_protection_test.go
@@ -61,10 +61,10 @@
 	}
 }
 
-// TestDeadlyMessageIsRefusedInAllRequests sends chats that are all different and share
+// TestPoisonousMessageIsRefusedInAllRequests sends chats that are all different and share
 // a message that crashes every engine. After few crashes such chats are refused, and
 // others are served.
-func TestDeadlyMessageIsRefusedInAllRequests(t *testing.T) {
+func TestPoisonousMessageIsRefusedInAllRequests(t *testing.T) {
 	h := newHarness(t, 100000)
 	_, s := h.startDaemon("a")
 	engines := make([]*fake.Engine, 8)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"poplarbend.example/poplar/internal/conns"
 	"poplarbend.example/poplar/pkg/plan"
 )
 
@@ -46,7 +47,8 @@
 			return resultBroken
 		}
 		eof := err != nil
-		if eof && len(event) > 0 && unframed(resp) {
+		if eof && len(event) > 0 && conns.Unbounded(resp) {
+			// Nothing but the end of its last event shows that it is complete.
 			a.err = errCutEvent
 			return resultBroken
 		}
@@ -76,12 +78,6 @@
 	}
 }
 
-// unframed reports whether the response ends with its connection. Then only the end
-// of its last event shows that it is complete.
-func unframed(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-}
-
 // eventBuffered reports whether another whole event is buffered, so that one
 // flush can send both.
 func eventBuffered(r *bufio.Reader) bool {
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"hash/fnv"
-	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -98,9 +95,7 @@
 	}
 	fingerprints := make([]poison.Fingerprint, len(x.env.Parts)-1)
 	for i := range fingerprints {
-		h := fnv.New64a()
-		h.Write([]byte(x.env.Parts[i].Name))
-		fingerprints[i] = poison.Fingerprint(h.Sum64())
+		fingerprints[i] = poison.PartFingerprint([]byte(x.env.Parts[i].Name))
 	}
 	return fingerprints
 }
@@ -188,16 +183,7 @@
 func (s *suspects) recordFinished(fingerprints []poison.Fingerprint, now time.Time) []poison.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var records []poison.Record
-	for _, fp := range fingerprints {
-		if verdict, _ := s.registry.Check(fp, now); verdict == poison.Clean {
-			continue
-		}
-		if r, known := s.registry.RecordFinish(fp, true, now); known {
-			records = append(records, r)
-		}
-	}
-	return records
+	return s.registry.RecordAnswered(fingerprints, now)
 }
 
 // learn merges the records of other routers.
@@ -255,7 +241,7 @@
 	}
 }
 
-// reportLoop runs reportOnce periodically and when records are queued.
+// reportLoop runs reportOnce periodically and when a crash is queued.
 func (p *Proxy) reportLoop() { loops.Tick(p.ctx, reportPeriod, p.reportWake, p.reportOnce) }
 
 func (p *Proxy) reportOnce(ctx context.Context) {
@@ -271,39 +257,6 @@
 	}
 }
 
-// crashProbe finds out whether an upstream whose response broke off has crashed.
-// Otherwise only a router that happens to send it another request would notice, and
-// that one may not know which requests were in flight.
-type crashProbe struct {
-	proxy    *Proxy
-	upstream *upstream
-}
-
-// probeDelays are the times between the tries of a probe. Before the first one, all
-// requests in flight at the crash have broken off. A process that crashes may accept
-// connections for a moment longer than it keeps those that it has.
-var probeDelays = [...]time.Duration{25 * time.Millisecond, 100 * time.Millisecond, 400 * time.Millisecond}
-
-// run reports a crash when the upstream refuses a connection.
-func (c crashProbe) run() {
-	dialer := net.Dialer{Timeout: connectTimeout}
-	for _, delay := range probeDelays {
-		if !sleep(c.proxy.ctx, delay) {
-			return
-		}
-		conn, err := dialer.DialContext(c.proxy.ctx, "tcp4", c.upstream.address)
-		if err == nil {
-			conn.Close()
-			continue
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			c.upstream.connectFailed(time.Now())
-			c.proxy.reportCrash(c.upstream)
-		}
-		return
-	}
-}
-
 // recordBroken records that the response of an upstream broke off, and probes the
 // upstream if that may have been a crash.
 func (x *exchange) recordBroken(u *upstream) {
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -79,24 +79,24 @@
 	}
 }
 
-// TestDeadlyPartIsRefusedInAllRequests sends requests that are all different and share
+// TestPoisonousPartIsRefusedInAllRequests sends requests that are all different and share
 // one part, which crashes each upstream, and others that share the first part only.
 // After three crashes the router refuses the former and serves the latter.
-func TestDeadlyPartIsRefusedInAllRequests(t *testing.T) {
+func TestPoisonousPartIsRefusedInAllRequests(t *testing.T) {
 	h := newHarness(t, script{"a": {"reset", "stream 6", "reset", "stream 6", "reset", "stream 6"}})
 	call := func(id, parts string) int {
 		return h.call(t.Context(), http.MethodPost, "stream", "k", "Id", id, "Parts", parts).status
 	}
 	for i := range 3 {
 		n := strconv.Itoa(i)
-		assert.Equal(t, call("deadly"+n, "first deadly last"+n), http.StatusBadGateway)
+		assert.Equal(t, call("poisonous"+n, "first poisonous last"+n), http.StatusBadGateway)
 		h.restart("a")
 		time.Sleep(time.Second / 4) // crashes in quick succession count as one
 		assert.Equal(t, call("sound"+n, "first other last"+n), http.StatusOK)
 	}
-	assert.Equal(t, call("deadly3", "first deadly last3"), http.StatusServiceUnavailable)
+	assert.Equal(t, call("poisonous3", "first poisonous last3"), http.StatusServiceUnavailable)
 	assert.Equal(t, call("sound3", "first other last3"), http.StatusOK)
-	assert.Equal(t, call("end", "first last4 deadly"), http.StatusOK, "the last part belongs to one request")
+	assert.Equal(t, call("end", "first last4 poisonous"), http.StatusOK, "the last part belongs to one request")
 }
 
 // TestFailedAnswerDoesNotClear answers a suspect with a failure of the upstream.
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"hash/fnv"
 	"slices"
 	"time"
 
@@ -22,6 +23,14 @@
 // flight at all of them.
 const partCrashGap = 150 * time.Millisecond
 
+// PartFingerprint returns the fingerprint of a part, given its content or a name that
+// stands for it.
+func PartFingerprint(part []byte) Fingerprint {
+	h := fnv.New64a()
+	h.Write(part)
+	return Fingerprint(h.Sum64())
+}
+
 // RecordPartCrash records that an upstream crashed while the given parts were in
 // requests without an answer. It returns the records to send to the other daemons.
 // If one of the parts was in flight at an earlier crash, only such parts are held
--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -12,8 +12,8 @@
 
 // Fingerprints of the parts in these tests.
 const (
-	sharedPart Fingerprint = 1 // the first part of every prompt
-	deadlyPart Fingerprint = 666
+	sharedPart    Fingerprint = 1 // the first part of every prompt
+	poisonousPart Fingerprint = 666
 )
 
 // TestPartIsRefusedAfterThreeCrashes has a part in flight at crashes with others,
@@ -21,13 +21,13 @@
 func TestPartIsRefusedAfterThreeCrashes(t *testing.T) {
 	reg, now := NewRegistry(DefaultSettings()), epoch
 	for i := range uint64(partCrashLimit) {
-		v, _, _ := reg.CheckParts([]Fingerprint{sharedPart, deadlyPart}, 0, now)
+		v, _, _ := reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, now)
 		assert.Equal(t, v, Clean, "crash %d", i)
-		reg.RecordPartCrash("u", i, []Fingerprint{sharedPart, deadlyPart, Fingerprint(10 + i)}, now)
+		reg.RecordPartCrash("u", i, []Fingerprint{sharedPart, poisonousPart, Fingerprint(10 + i)}, now)
 		now = now.Add(time.Second)
 		reg.RecordFinish(sharedPart, true, now)
 	}
-	v, _, until := reg.CheckParts([]Fingerprint{sharedPart, deadlyPart}, 0, now)
+	v, _, until := reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, now)
 	assert.Equal(t, v, Refused)
 	assert.Equal(t, until, now.Add(-time.Second).Add(DefaultSettings().SuspectDuration))
 	v, _, _ = reg.CheckParts([]Fingerprint{sharedPart, 10}, 0, now)
@@ -53,7 +53,7 @@
 	now := epoch
 	for i := range uint64(partCrashLimit) {
 		now = now.Add(partCrashGap)
-		other.MergeRecords(reg.RecordPartCrash("u", i, []Fingerprint{sharedPart, deadlyPart}, now))
+		other.MergeRecords(reg.RecordPartCrash("u", i, []Fingerprint{sharedPart, poisonousPart}, now))
 	}
 	check := func(reg *Registry, want Verdict, parts ...Fingerprint) Fingerprint {
 		t.Helper()
@@ -63,7 +63,7 @@
 	}
 	check(reg, Refused, sharedPart)
 	now = now.Add(trialDelay)
-	check(reg, Refused, sharedPart, deadlyPart)
+	check(reg, Refused, sharedPart, poisonousPart)
 	assert.Equal(t, check(reg, Isolated, sharedPart, 5), sharedPart)
 	v, _, until := reg.CheckParts([]Fingerprint{sharedPart}, 1, now)
 	assert.Equal(t, v, Refused, "a daemon that tries later")
@@ -75,12 +75,12 @@
 	other.MergeRecords([]Record{cleared})
 	check(other, Clean, sharedPart)
 	now = now.Add(trialTime)
-	check(other, Refused, deadlyPart)
-	check(other, Refused, sharedPart, deadlyPart)
+	check(other, Refused, poisonousPart)
+	check(other, Refused, sharedPart, poisonousPart)
 }
 
 // partFleet simulates routers and upstreams under requests, some of which hold the
-// deadly part. Times are in milliseconds.
+// poisonous part. Times are in milliseconds.
 type partFleet struct {
 	random    *rand.Rand
 	routers   []*Registry
@@ -90,14 +90,14 @@
 	messages  []partMessage
 
 	crashes            []int // times
-	deadlySent         []int // times at which a deadly request reached an upstream
+	poisonousSent      []int // times at which a poisonous request reached an upstream
 	sound, soundServed int   // requests after the fifth crash has been known
 }
 
 type partRequest struct {
 	router, upstream, begins int
 	parts                    []Fingerprint
-	deadly                   bool
+	poisonous                bool
 }
 
 type partMessage struct {
@@ -122,13 +122,13 @@
 }
 
 // request lets a router pass on or refuse a request.
-func (f *partFleet) request(ms int, deadly bool) {
+func (f *partFleet) request(ms int, poisonous bool) {
 	router := f.random.IntN(len(f.routers))
 	parts := []Fingerprint{sharedPart, Fingerprint(100 + f.random.IntN(60))}
-	if deadly {
-		parts = append(parts, deadlyPart)
+	if poisonous {
+		parts = append(parts, poisonousPart)
 	}
-	counts := !deadly && len(f.crashes) >= 5 && ms > f.crashes[4]+2*contactTime
+	counts := !poisonous && len(f.crashes) >= 5 && ms > f.crashes[4]+2*contactTime
 	if counts {
 		f.sound++
 	}
@@ -149,10 +149,10 @@
 	if counts {
 		f.soundServed++
 	}
-	if deadly {
-		f.deadlySent = append(f.deadlySent, ms)
+	if poisonous {
+		f.poisonousSent = append(f.poisonousSent, ms)
 	}
-	f.running = append(f.running, partRequest{router, upstream, ms + 20 + f.random.IntN(200), parts, deadly})
+	f.running = append(f.running, partRequest{router, upstream, ms + 20 + f.random.IntN(200), parts, poisonous})
 }
 
 // begin lets the requests whose time has come begin: they are answered or crash
@@ -163,22 +163,14 @@
 		switch {
 		case r.begins > ms:
 			continue
-		case r.deadly:
+		case r.poisonous:
 			f.crash(ms, r.upstream)
 			i = -1
 			continue
 		}
 		f.running = append(f.running[:i], f.running[i+1:]...)
 		i--
-		var cleared []Record
-		for _, fp := range r.parts {
-			if v, _ := f.routers[r.router].Check(fp, at(ms)); v == Clean {
-				continue
-			}
-			record, _ := f.routers[r.router].RecordFinish(fp, true, at(ms))
-			cleared = append(cleared, record)
-		}
-		f.send(ms, cleared)
+		f.send(ms, f.routers[r.router].RecordAnswered(r.parts, at(ms)))
 	}
 }
 
@@ -203,18 +195,18 @@
 	f.starts[upstream]++
 }
 
-// TestDeadlyPartStopsReachingUpstreams simulates fleets in which a share of the
+// TestPoisonousPartStopsReachingUpstreams simulates fleets in which a share of the
 // requests hold a part that crashes upstreams. Later than contactTime after the fifth
 // crash at most three of them may reach an upstream, and from twice that time on at
 // least half of the requests that share their other parts must be passed on.
-func TestDeadlyPartStopsReachingUpstreams(t *testing.T) {
+func TestPoisonousPartStopsReachingUpstreams(t *testing.T) {
 	for seed := range uint64(60) {
 		random := rand.New(rand.NewPCG(seed, 3))
 		f := &partFleet{random: random, routers: make([]*Registry, 9), downUntil: make([]int, 12), starts: make([]uint64, 12)}
 		for i := range f.routers {
 			f.routers[i] = NewRegistry(Settings{RefuseDuration: 5 * time.Minute, SuspectDuration: time.Minute})
 		}
-		perSecond, deadlyShare := 10+random.Float64()*90, []float64{0.02, 0.05, 0.1, 0.2}[seed%4]
+		perSecond, poisonousShare := 10+random.Float64()*90, []float64{0.02, 0.05, 0.1, 0.2}[seed%4]
 		for ms := 0; ms < 30_000; ms++ {
 			for i := 0; i < len(f.messages); i++ {
 				if m := f.messages[i]; m.at <= ms {
@@ -227,16 +219,16 @@
 			}
 			f.begin(ms)
 			if random.Float64() < perSecond/1000 {
-				f.request(ms, random.Float64() < deadlyShare)
+				f.request(ms, random.Float64() < poisonousShare)
 			}
 		}
 		late := 0
-		for _, ms := range f.deadlySent {
+		for _, ms := range f.poisonousSent {
 			if len(f.crashes) >= 5 && ms > f.crashes[4]+contactTime {
 				late++
 			}
 		}
-		assert.Assert(t, late <= 3, "seed %d: %d deadly requests reached upstreams late, %d upstreams crashed", seed, late, len(f.crashes))
+		assert.Assert(t, late <= 3, "seed %d: %d poisonous requests reached upstreams late, %d upstreams crashed", seed, late, len(f.crashes))
 		assert.Assert(t, 2*f.soundServed >= f.sound, "seed %d: %d of %d sound requests were passed on", seed, f.soundServed, f.sound)
 	}
 }
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -132,6 +132,18 @@
 	return reg.merge(Record{Fingerprint: fp, Cleared: now}), true
 }
 
+// RecordAnswered clears those of the fingerprints that are under a restriction. It
+// returns the records to send to the other daemons.
+func (reg *Registry) RecordAnswered(fingerprints []Fingerprint, now time.Time) []Record {
+	var out []Record
+	for _, fp := range fingerprints {
+		if v, _ := reg.Check(fp, now); v != Clean {
+			out = append(out, reg.merge(Record{Fingerprint: fp, Cleared: now}))
+		}
+	}
+	return out
+}
+
 // Release clears a fingerprint on an operator's request. It returns the record
 // to send to the other daemons.
 func (reg *Registry) Release(fp Fingerprint, now time.Time) Record {
