Count loans and refusals for lack of tokens, and log them while tokens are short

The logs could not tell whether a router that refuses for lack of tokens is kept busy by its own requests or by the loans that it asks for.

--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -247,6 +247,7 @@
 // refuseTokens returns the error for a request without tokens: that the budget is
 // exhausted, if it is, and else the given one.
 func (x *exchange) refuseTokens(tokens poplar.Tokens, temporary *poplar.Error) *poplar.Error {
+	x.p.metrics.tokenRefusals.Add(1)
 	if temporary != nil && !x.budgetExhausted(tokens) {
 		return temporary
 	}
@@ -321,8 +322,10 @@
 	if !lacks || now.Before(from.notBefore) {
 		return 0
 	}
+	p.metrics.loans.Add(1)
 	resp, err := peer.CallWithin[wallet.LoanRequest, wallet.LoanResponse](ctx, loanTimeout, p.pool, peer.Seed(address), core.OpLend, req)
 	if err != nil {
+		p.metrics.loansFailed.Add(1)
 		p.log.Debug("loan request failed; router not asked again until back-off ends", "at", address, "error", err)
 		p.setLender(address, lender{holder: from.holder, notBefore: time.Now().Add(lenderBackoff)})
 		return 0
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -50,6 +50,9 @@
 	resumed        *expvar.Int
 	draws          *expvar.Int
 	drawsFailed    *expvar.Int
+	loans          *expvar.Int // loan requests to other routers
+	loansFailed    *expvar.Int
+	tokenRefusals  *expvar.Int // requests refused for lack of tokens
 }
 
 func newMetrics(v *trace.Vars) metrics {
@@ -61,5 +64,30 @@
 		resumed:        v.Count("streams_resumed"),
 		draws:          v.Count("draws"),
 		drawsFailed:    v.Count("draws_failed"),
+		loans:          v.Count("loans"),
+		loansFailed:    v.Count("loans_failed"),
+		tokenRefusals:  v.Count("token_refusals"),
 	}
 }
+
+// shortageLog logs shortages of tokens, once in a sweep.
+type shortageLog struct {
+	refusals, loans, loansFailed, draws, drawsFailed int64 // invariant: the metrics at the last line
+}
+
+// logShortage logs what was done about a shortage since the last sweep, if requests were
+// refused for lack of tokens or loans were asked for.
+func (p *Proxy) logShortage() {
+	now := shortageLog{
+		refusals: p.metrics.tokenRefusals.Value(), loans: p.metrics.loans.Value(), loansFailed: p.metrics.loansFailed.Value(),
+		draws: p.metrics.draws.Value(), drawsFailed: p.metrics.drawsFailed.Value(),
+	}
+	last := p.shortages
+	if now.refusals == last.refusals && now.loans == last.loans {
+		return
+	}
+	p.shortages = now
+	p.log.Info("tokens short", "refusals", now.refusals-last.refusals, "loans", now.loans-last.loans,
+		"loans_failed", now.loansFailed-last.loansFailed, "draws", now.draws-last.draws,
+		"draws_failed", now.drawsFailed-last.drawsFailed, "open", p.openRequests.Load())
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -91,6 +91,7 @@
 	drewOnce     atomic.Bool // true once a draw request was answered
 	drawMu       sync.Mutex
 	drawDone     chan struct{} // invariant: guarded by drawMu; closed at the next draw response
+	shortages    shortageLog   // invariant: used only by sweepLoop
 
 	lenderMu sync.Mutex
 	lenders  map[string]lender // invariant: guarded by lenderMu; keyed by peer address
@@ -219,8 +220,9 @@
 func (p *Proxy) sweepLoop() { loops.Tick(p.ctx, sweepPeriod, nil, p.sweep) }
 
 // sweep closes connections that have been idle too long or lead to upstreams
-// that accept no new requests, and removes expired suspects.
+// that accept no new requests, removes expired suspects, and logs shortages of tokens.
 func (p *Proxy) sweep(context.Context) {
+	p.logShortage()
 	p.suspects.sweep(time.Now())
 	accepting := map[string]bool{}
 	for _, group := range p.view.Load().services {
