Let all requests that wait for tokens share draws and loans

Callers of a workspace whose requests all go to one router of a large fleet were refused for lack of tokens while most of the budget was free.

Cause: what a router did about a shortage grew with the number of requests that waited, and what it got did not. A draw asked for the largest waiting request only, and of the rest the log issues a 296th of what is free in a fleet of 295. Each request that had waited 120 ms then asked up to 24 other routers for loans, one after another.

A draw now asks for the tokens of all requests that wait, if that many are free, and, while more are free, for what the router's share of the spending justifies. The requests of a workspace share one round of loan requests, and none is made while the log answers and has the tokens. The commands of the log are unchanged, so members of two builds agree.

--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -37,22 +37,15 @@
 	// firstDrawWait is how long a request at a newly started router waits for
 	// the first draw response. It covers a leader election of the log.
 	firstDrawWait = 1200 * time.Millisecond
-	// loanTimeout limits a call to another router. A router that does not
-	// answer is not asked again for lenderBackoff.
-	loanTimeout   = 80 * time.Millisecond
-	lenderBackoff = time.Second
 	// keptRetryDelay is the delay of a request that finds the last tokens of its budget
 	// kept for more urgent ones. Only a higher grant or unused reservations help it.
 	keptRetryDelay = 5 * time.Second
 	// While the log is unreachable, locked tokens become ready over time.
 	// unlockWaitShare is the share of its latency target for which a request
 	// waits for them. minLoanInterval is the minimum time after which the
-	// request asks the other routers again.
+	// request takes part in another round of loans.
 	unlockWaitShare = 0.6
 	minLoanInterval = 100 * time.Millisecond
-	// maxLenders is the number of routers that a request asks in one round. In a
-	// large fleet the calls would otherwise outnumber the requests by far.
-	maxLenders = 24
 )
 
 // wakeDrawLoop makes the draw loop run without waiting for its next period.
@@ -184,16 +177,12 @@
 // works while the log is unreachable. A request that cannot get its tokens is refused
 // as soon as that is known.
 func (x *exchange) reserve(tokens poplar.Tokens) *poplar.Error {
-	p, w := x.p, x.workspace.Name
-	if p.wallet.KeptFrom(w, x.route.Rank) {
-		return x.refuseTokens(tokens, keptError())
-	}
-	if p.wallet.Reserve(w, tokens, time.Now()) {
-		return nil
-	}
-	if x.budgetExhausted(tokens) {
-		return x.refuseTokens(tokens, nil)
+	if done, err := x.tryReserve(tokens); done {
+		return err
 	}
+	p, w := x.p, x.workspace.Name
+	release := p.wallet.Await(w, tokens)
+	defer release()
 	wait, timeout := drawWait, reserveTimeout
 	if !p.drewOnce.Load() {
 		// The router has just started: unless the log is unreachable, the
@@ -207,27 +196,21 @@
 	}
 	ctx, cancel := context.WithDeadline(x.ctx, reserveBy)
 	defer cancel()
-	if p.drawsSucceed.Load() || !p.drewOnce.Load() {
-		p.awaitDraw(ctx, wait)
-		// A router that has just started learns only now what is kept.
-		if p.wallet.KeptFrom(w, x.route.Rank) {
-			return x.refuseTokens(tokens, keptError())
-		}
-		if p.wallet.Reserve(w, tokens, time.Now()) {
-			return nil
-		}
-		if x.budgetExhausted(tokens) {
-			return x.refuseTokens(tokens, nil)
-		}
-	}
 	retryAt := time.Now().Add(drawPeriod)
 	for end := time.Now().Add(unlockWait); ; {
+		if done, err := x.reserveFromDraws(ctx, tokens, wait); done {
+			return err
+		}
+		wait = drawWait
 		ok, lendable := p.borrow(ctx, w, tokens)
 		if ok {
 			return nil
 		}
 		if p.drawsSucceed.Load() {
-			break
+			if ctx.Err() != nil || p.wallet.Snapshot(w, time.Now()).Free < tokens {
+				break
+			}
+			continue
 		}
 		unlockAt, known := p.wallet.EstimateReady(w, tokens, lendable, time.Now())
 		if known {
@@ -244,6 +227,48 @@
 		Ran(poplar.RunNo).After(retryAt))
 }
 
+// tryReserve takes tokens from the wallet. It reports whether that decides the request:
+// it has its tokens, or it is refused with the error.
+func (x *exchange) tryReserve(tokens poplar.Tokens) (done bool, err *poplar.Error) {
+	p, w := x.p, x.workspace.Name
+	switch {
+	case p.wallet.KeptFrom(w, x.route.Rank):
+		return true, x.refuseTokens(tokens, keptError())
+	case p.wallet.Reserve(w, tokens, time.Now()):
+		return true, nil
+	case x.budgetExhausted(tokens):
+		return true, x.refuseTokens(tokens, nil)
+	}
+	return false, nil
+}
+
+// drawsAwaited is the number of draw responses after which a request no longer waits for
+// tokens that the log does not have. The first draw may have been sent before the request
+// asked for tokens.
+const drawsAwaited = 2
+
+// reserveFromDraws waits for draw responses, at most for the time wait, until one decides
+// the request, see tryReserve. It returns false at once while the log is unreachable.
+func (x *exchange) reserveFromDraws(ctx context.Context, tokens poplar.Tokens, wait time.Duration) (done bool, err *poplar.Error) {
+	p := x.p
+	until := time.Now().Add(wait)
+	for draws := 0; p.drawsSucceed.Load() || !p.drewOnce.Load(); draws++ {
+		next := p.nextDrawDone()
+		if draws > 0 {
+			if done, err := x.tryReserve(tokens); done {
+				return true, err
+			}
+		}
+		if draws >= drawsAwaited && p.wallet.Snapshot(x.workspace.Name, time.Now()).Free < tokens {
+			break
+		}
+		if !p.awaitDraw(ctx, next, until) {
+			break
+		}
+	}
+	return false, nil
+}
+
 // refuseTokens returns the error for a request without tokens: that the budget is
 // exhausted, if it is, and else the given one.
 func (x *exchange) refuseTokens(tokens poplar.Tokens, temporary *poplar.Error) *poplar.Error {
@@ -276,78 +301,17 @@
 	}
 }
 
-// awaitDraw waits for the next draw response, at most for the time wait.
-func (p *Proxy) awaitDraw(ctx context.Context, wait time.Duration) {
-	next := p.nextDrawDone()
+// awaitDraw waits for the draw response that closes next. It returns false if there is
+// none by the given time.
+func (p *Proxy) awaitDraw(ctx context.Context, next <-chan struct{}, until time.Time) bool {
 	p.wakeDrawLoop()
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	select {
 	case <-next:
+		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-}
-
-// borrow asks other routers in random order, at most maxLenders of them, until the
-// tokens can be reserved. If they cannot, lendable is the sum of the tokens that
-// these routers may be able to lend in the next second.
-func (p *Proxy) borrow(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens) (ok bool, lendable poplar.Tokens) {
-	routers := p.view.Load().routers
-	asked := 0
-	for _, i := range rand.Perm(len(routers)) {
-		if routers[i] == p.settings.Address {
-			continue
-		}
-		if ctx.Err() != nil || asked >= maxLenders {
-			break
-		}
-		asked++
-		lendable += p.borrowFrom(ctx, routers[i], w, tokens)
-		if p.wallet.Reserve(w, tokens, time.Now()) {
-			return true, 0
-		}
-	}
-	return p.wallet.Reserve(w, tokens, time.Now()), lendable
-}
-
-// borrowFrom asks one router for a loan and returns the tokens that it may be
-// able to lend in the next second.
-func (p *Proxy) borrowFrom(ctx context.Context, address string, w poplar.Workspace, tokens poplar.Tokens) poplar.Tokens {
-	p.lenderMu.Lock()
-	from := p.lenders[address]
-	p.lenderMu.Unlock()
-	now := time.Now()
-	req, lacks := p.wallet.NextLoan(w, from.holder, tokens, now)
-	if !lacks || now.Before(from.notBefore) {
-		return 0
-	}
-	p.metrics.loans.Add(1)
-	resp, err := peer.CallWithin[wallet.LoanRequest, wallet.LoanResponse](ctx, loanTimeout, p.pool, peer.Seed(address), core.OpLend, req)
-	if err != nil {
-		p.metrics.loansFailed.Add(1)
-		p.log.Debug("loan request failed; router not asked again until back-off ends", "at", address, "error", err)
-		p.setLender(address, lender{holder: from.holder, notBefore: time.Now().Add(lenderBackoff)})
-		return 0
-	}
-	if resp.Lender != from.holder {
-		// This incarnation of the router has not lent before: the sum of its
-		// loans starts from zero.
-		p.setLender(address, lender{holder: resp.Lender})
-	}
-	p.wallet.ApplyLoan(w, resp)
-	p.log.Debug("loan", "at", address, "workspace", string(w), "had", int64(req.Received), "sum", int64(resp.Total))
-	return resp.ReadySoon
-}
-
-// lender is the state of a router that is asked for loans.
-type lender struct {
-	holder    wallet.Holder // incarnation of the router that answered last
-	notBefore time.Time     // invariant: no loan request is sent before this time
-}
-
-func (p *Proxy) setLender(address string, l lender) {
-	p.lenderMu.Lock()
-	defer p.lenderMu.Unlock()
-	p.lenders[address] = l
+	return false
 }
--- /dev/null
+++ b/internal/proxy/loans.go
@@ -0,0 +1,152 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/core"
+	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/wallet"
+)
+
+// A router borrows tokens from other routers when it lacks them. The requests of a
+// workspace that wait for tokens share one round of loan requests: calls for each of them
+// would grow with the load of a router that is already short, and take the processor time
+// and the bandwidth that its draws need.
+
+const (
+	// loanTimeout limits a call to another router. A router that does not
+	// answer is not asked again for lenderBackoff.
+	loanTimeout   = 80 * time.Millisecond
+	lenderBackoff = time.Second
+	// maxLenders is the number of routers that are asked in one round.
+	maxLenders = 24
+)
+
+// loanRound asks other routers for the tokens that all waiting requests of a workspace
+// lack.
+type loanRound struct {
+	proxy     *Proxy
+	workspace poplar.Workspace
+
+	mu       sync.Mutex
+	news     chan struct{} // invariant: guarded by mu; closed at the next loan and at the end
+	ended    bool          // invariant: guarded by mu
+	lendable poplar.Tokens // invariant: guarded by mu; what the routers that were asked may lend in the next second
+}
+
+// borrow takes part in a round of loans until the tokens can be reserved. If they cannot,
+// lendable is the sum of the tokens that the routers which were asked may be able to lend
+// in the next second. The wallet must know of the request, see wallet.Await.
+func (p *Proxy) borrow(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens) (ok bool, lendable poplar.Tokens) {
+	r := p.joinLoanRound(w)
+	for {
+		news, ended, lendable := r.state()
+		if p.wallet.Reserve(w, tokens, time.Now()) {
+			return true, 0
+		}
+		if ended {
+			return false, lendable
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return false, lendable
+		}
+	}
+}
+
+// joinLoanRound returns the current round of a workspace, or starts one.
+func (p *Proxy) joinLoanRound(w poplar.Workspace) *loanRound {
+	p.lenderMu.Lock()
+	defer p.lenderMu.Unlock()
+	r := p.loanRounds[w]
+	if r == nil {
+		r = &loanRound{proxy: p, workspace: w, news: make(chan struct{})}
+		p.loanRounds[w] = r
+		go r.run()
+	}
+	return r
+}
+
+// run asks other routers in random order, at most maxLenders of them, until the waiting
+// requests have their tokens.
+func (r *loanRound) run() {
+	p := r.proxy
+	routers := p.view.Load().routers
+	asked := 0
+	for _, i := range rand.Perm(len(routers)) {
+		if routers[i] == p.settings.Address {
+			continue
+		}
+		if p.ctx.Err() != nil || asked >= maxLenders || p.wallet.Awaited(r.workspace) == 0 {
+			break
+		}
+		asked++
+		r.tell(p.borrowFrom(routers[i], r.workspace), false)
+	}
+	p.lenderMu.Lock()
+	delete(p.loanRounds, r.workspace)
+	p.lenderMu.Unlock()
+	r.tell(0, true)
+}
+
+// tell wakes the requests that take part.
+func (r *loanRound) tell(lendable poplar.Tokens, ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lendable += lendable
+	r.ended = ended
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+func (r *loanRound) state() (news <-chan struct{}, ended bool, lendable poplar.Tokens) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.news, r.ended, r.lendable
+}
+
+// borrowFrom asks one router for a loan and returns the tokens that it may be
+// able to lend in the next second.
+func (p *Proxy) borrowFrom(address string, w poplar.Workspace) poplar.Tokens {
+	p.lenderMu.Lock()
+	from := p.lenders[address]
+	p.lenderMu.Unlock()
+	now := time.Now()
+	req, lacks := p.wallet.NextLoan(w, from.holder, p.wallet.Awaited(w), now)
+	if !lacks || now.Before(from.notBefore) {
+		return 0
+	}
+	p.metrics.loans.Add(1)
+	resp, err := peer.CallWithin[wallet.LoanRequest, wallet.LoanResponse](p.ctx, loanTimeout, p.pool, peer.Seed(address), core.OpLend, req)
+	if err != nil {
+		p.metrics.loansFailed.Add(1)
+		p.log.Debug("loan request failed; router not asked again until back-off ends", "at", address, "error", err)
+		p.setLender(address, lender{holder: from.holder, notBefore: time.Now().Add(lenderBackoff)})
+		return 0
+	}
+	if resp.Lender != from.holder {
+		// This incarnation of the router has not lent before: the sum of its
+		// loans starts from zero.
+		p.setLender(address, lender{holder: resp.Lender})
+	}
+	p.wallet.ApplyLoan(w, resp)
+	p.log.Debug("loan", "at", address, "workspace", string(w), "had", int64(req.Received), "sum", int64(resp.Total))
+	return resp.ReadySoon
+}
+
+// lender is the state of a router that is asked for loans.
+type lender struct {
+	holder    wallet.Holder // incarnation of the router that answered last
+	notBefore time.Time     // invariant: no loan request is sent before this time
+}
+
+func (p *Proxy) setLender(address string, l lender) {
+	p.lenderMu.Lock()
+	defer p.lenderMu.Unlock()
+	p.lenders[address] = l
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -93,8 +93,9 @@
 	drawDone     chan struct{} // invariant: guarded by drawMu; closed at the next draw response
 	shortages    shortageLog   // invariant: used only by sweepLoop
 
-	lenderMu sync.Mutex
-	lenders  map[string]lender // invariant: guarded by lenderMu; keyed by peer address
+	lenderMu   sync.Mutex
+	lenders    map[string]lender               // invariant: guarded by lenderMu; keyed by peer address
+	loanRounds map[poplar.Workspace]*loanRound // invariant: guarded by lenderMu; the rounds in progress
 
 	routerMu   sync.Mutex
 	routers    map[string]time.Time // invariant: guarded by routerMu; time at which a control daemon last listed each router
@@ -128,6 +129,7 @@
 		drawDone:     make(chan struct{}),
 		retryWindows: map[poplar.Service]*retry.Window{},
 		lenders:      map[string]lender{},
+		loanRounds:   map[poplar.Workspace]*loanRound{},
 		routers:      map[string]time.Time{},
 		union:        roster.NewUnion(),
 		watchers:     map[string]*watcher{},
--- a/pkg/wallet/wallet.go
+++ b/pkg/wallet/wallet.go
@@ -57,6 +57,9 @@
 	// ready when no tokens are free. It rises linearly to 1 when the whole budget is
 	// free. The rest of such a request is drawn or borrowed.
 	minLargestFraction = 0.2
+	// maxNeededFraction is the largest fraction of the free tokens that a router which
+	// has done all the spending asks for at once beyond what its requests wait for.
+	maxNeededFraction = 0.5
 	// recentLargestWindow is the time over which the size of the largest recent
 	// request decays.
 	recentLargestWindow = 10 * time.Second
@@ -108,6 +111,7 @@
 	statusTime                       time.Time     // invariant: time of the last draw response for the workspace
 	hasStatus                        bool          // invariant: true once the log has reported the status
 	largestWaiting                   poplar.Tokens // invariant: largest request refused since the last draw response
+	waiting                          poplar.Tokens // invariant: sum of the requests between Await and its release
 	demandRate                       float64       // tokens per second
 	recentLargest                    float64       // tokens of the largest recent request, decaying
 	largestEver                      float64       // tokens of the largest request ever
@@ -170,6 +174,27 @@
 	return true
 }
 
+// Await records that a request of the given size waits for tokens, until release is
+// called. The next draw asks for the tokens of all requests that wait.
+func (w *Wallet) Await(name poplar.Workspace, tokens poplar.Tokens) (release func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	b := w.balance(name)
+	b.waiting += tokens
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		b.waiting -= tokens
+	}
+}
+
+// Awaited returns the number of tokens that the requests that wait need together.
+func (w *Wallet) Awaited(name poplar.Workspace) poplar.Tokens {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.balance(name).waiting
+}
+
 // Settle ends a reservation, of which the given number of tokens was used.
 func (w *Wallet) Settle(name poplar.Workspace, reserved, used poplar.Tokens) {
 	w.mu.Lock()
@@ -307,7 +332,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, b := range w.balances {
-		if b.largestWaiting > 0 {
+		if b.largestWaiting > 0 || b.waiting > 0 {
 			return true
 		}
 	}
@@ -389,7 +414,7 @@
 // than the age of the reserve.
 func (b *balance) nextEntry(grant poplar.Tokens, policy Policy, routers int, now time.Time) (DrawEntry, bool) {
 	ready, reserve := b.targets(grant, policy, routers)
-	need := max(b.largestWaiting, ready)
+	need := max(b.largestWaiting, b.waiting, ready)
 	have := max(b.held()-b.open, 0)
 	surplus := have - reserve - 2*need
 	if float64(surplus*poplar.Tokens(routers)) <= surplusFraction*float64(grant) {
@@ -405,16 +430,38 @@
 	newReserve := max(have-need-surplus, 0)
 	e := DrawEntry{
 		Issued: b.issued, Returned: b.returned, Spent: b.spent, Open: b.open, NetBorrowed: b.borrowed - b.lent, Reserve: newReserve,
-		Needed:  max(b.largestWaiting-have, 0),
 		Desired: max(need+reserve-have, 0),
 		Urgent:  b.urgent.use(),
 	}
-	due := !b.hasStatus || b.largestWaiting > 0 || e.Desired > (ready+reserve)/dueDivisor || (b.confirmedReserve.tokens > 0 && newReserve == 0) ||
+	e.Needed = b.needed(e.Desired, have)
+	due := !b.hasStatus || b.largestWaiting > 0 || b.waiting > 0 || e.Desired > (ready+reserve)/dueDivisor || (b.confirmedReserve.tokens > 0 && newReserve == 0) ||
 		b.returned != b.reported.Returned || float64(b.spent-b.reported.Spent) > reportFraction*float64(grant) ||
 		e.NetBorrowed != b.reported.NetBorrowed || b.urgent.fell(b.reported.Urgent) || b.kept
 	return e, due
 }
 
+// needed returns the number of tokens without which a draw is of no use. The log issues
+// them whole or not at all, and of the rest only a part that is small in a large fleet.
+// So they cover all requests that wait, if that many tokens are free, and while more are
+// free also what is desired, up to a share of the free tokens that matches the share of
+// the router in all spending: a router that serves most requests of a workspace would
+// otherwise have next to nothing when it loses contact with the log.
+func (b *balance) needed(desired, have poplar.Tokens) poplar.Tokens {
+	least := max(b.largestWaiting-have, 0)
+	if !b.hasStatus {
+		return least
+	}
+	if all := b.waiting - have; all <= b.status.Free {
+		least = max(least, all)
+	}
+	plentiful := float64(b.status.Free) - scarceFraction*float64(b.status.Grant)
+	if plentiful > 0 && b.status.Spent > 0 {
+		share := min(1, float64(b.spent)/float64(b.status.Spent))
+		least = max(least, min(desired, poplar.Tokens(share*maxNeededFraction*plentiful)))
+	}
+	return least
+}
+
 // ApplyDraw applies the response to a draw request.
 func (w *Wallet) ApplyDraw(d DrawRequest, response DrawResponse, now time.Time) {
 	w.mu.Lock()
