Let a request that joins a round of loans late take part in another one

A request that joined a round just before its end was refused, though routers that were asked before it had tokens to lend: TestWaitingRequestsShareLoans served 198 of 200 requests in one of four runs.

--- a/internal/proxy/loans.go
+++ b/internal/proxy/loans.go
@@ -42,14 +42,21 @@
 // lendable is the sum of the tokens that the routers which were asked may be able to lend
 // in the next second. The wallet must know of the request, see wallet.Await.
 func (p *Proxy) borrow(ctx context.Context, w poplar.Workspace, tokens poplar.Tokens) (ok bool, lendable poplar.Tokens) {
-	r := p.joinLoanRound(w)
+	r, joined := p.joinLoanRound(w)
 	for {
 		news, ended, lendable := r.state()
 		if p.wallet.Reserve(w, tokens, time.Now()) {
 			return true, 0
 		}
 		if ended {
-			return false, lendable
+			if !joined {
+				return false, lendable
+			}
+			// The routers that were asked before the request joined did not lend
+			// for it.
+			r, _ = p.joinLoanRound(w)
+			joined = false
+			continue
 		}
 		select {
 		case <-news:
@@ -59,17 +66,18 @@
 	}
 }
 
-// joinLoanRound returns the current round of a workspace, or starts one.
-func (p *Proxy) joinLoanRound(w poplar.Workspace) *loanRound {
+// joinLoanRound returns the current round of a workspace, or starts one. It reports
+// whether the round had begun.
+func (p *Proxy) joinLoanRound(w poplar.Workspace) (r *loanRound, begun bool) {
 	p.lenderMu.Lock()
 	defer p.lenderMu.Unlock()
-	r := p.loanRounds[w]
-	if r == nil {
+	r, begun = p.loanRounds[w]
+	if !begun {
 		r = &loanRound{proxy: p, workspace: w, news: make(chan struct{})}
 		p.loanRounds[w] = r
 		go r.run()
 	}
-	return r
+	return r, begun
 }
 
 // run asks other routers in random order, at most maxLenders of them, until the waiting
