Use the tokens of draws that are answered late

A router that was short of processor time refused most requests of its largest workspace for up to 8 s, with 5 million tokens free in the log. Their callers came back and kept it overloaded.

Cause: a draw that took more than 0.7 s was given up and its response was not read, and one that was answered after the next one had been made was ignored. An overloaded router got no tokens at all. Its ready tokens last for 0.2 s of its demand, the rest of what it held was locked.

A draw is now waited for up to 3 s, while others are made. The tokens of a late response can be used; its reserve is not taken for the one in force, so both stay locked. Ready tokens last for two draws at the speed of recent ones, two seconds at most.

Those that are rejected come back to the same router over new connections, and fill its link.

--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -24,9 +24,10 @@
 	// router of the fleet, if it exceeds drawPeriod and no request waits for
 	// tokens. It bounds the draws that the log takes from all routers.
 	drawPeriodPerRouter = 3 * time.Millisecond
-	// drawTimeout limits one draw request. The next one may go to another
-	// control daemon.
-	drawTimeout = 700 * time.Millisecond
+	// drawTimeout is the time after which another draw request is made, perhaps to
+	// another control daemon. A response is used until lateDrawTimeout.
+	drawTimeout     = 700 * time.Millisecond
+	lateDrawTimeout = 3 * time.Second
 	// minDrawInterval is the pause after each draw request.
 	minDrawInterval = 60 * time.Millisecond
 	// drawWait is how long a request waits for a draw response before the
@@ -94,22 +95,57 @@
 		to = leader
 	}
 	p.metrics.draws.Add(1)
-	resp, err := p.sendDraw(p.ctx, to, d)
-	if err != nil {
-		p.metrics.drawsFailed.Add(1)
-		if p.drawsSucceed.Swap(false) {
-			p.log.Warn("draws fail", "at", to, "error", err)
+	c := &drawCall{proxy: p, to: to, request: d, done: make(chan struct{})}
+	go c.run()
+	timer := time.NewTimer(drawTimeout)
+	defer timer.Stop()
+	select {
+	case <-c.done:
+		if c.err != nil {
+			p.drawFailed(to, c.err)
 		}
+	case <-timer.C:
+		p.drawFailed(to, errDrawSlow)
+	}
+}
+
+var errDrawSlow = errors.New("no response yet")
+
+func (p *Proxy) drawFailed(to string, err error) {
+	p.metrics.drawsFailed.Add(1)
+	if p.drawsSucceed.Swap(false) {
+		p.log.Warn("draws fail", "at", to, "error", err)
+	}
+}
+
+// drawCall is one draw request.
+type drawCall struct {
+	proxy   *Proxy
+	to      string
+	request wallet.DrawRequest
+	done    chan struct{} // invariant: closed when the call has ended
+	err     error         // invariant: set before done is closed
+}
+
+// run makes the call and applies its response. That may be late: without the tokens of
+// late responses a router that is overloaded would refuse requests, whose callers return
+// and keep it overloaded.
+func (c *drawCall) run() {
+	defer close(c.done)
+	p := c.proxy
+	resp, err := p.sendDraw(p.ctx, c.to, c.request)
+	if err != nil {
+		c.err = err
 		return
 	}
 	p.drewOnce.Store(true)
 	if !p.drawsSucceed.Swap(true) {
-		p.log.Info("draws succeed", "at", to)
+		p.log.Info("draws succeed", "at", c.to)
 	}
-	p.wallet.ApplyDraw(d, resp, time.Now())
+	p.wallet.ApplyDraw(c.request, resp, time.Now())
 	for name, l := range resp.Lost {
 		p.log.Warn("tokens written off", "workspace", string(name), "tokens", int64(l.Tokens), "held", int64(l.Held),
-			"open", int64(l.Open), "reserve", int64(l.Reserve), "after_ms", l.UnlockedMillis, "life", d.Holder.Incarnation)
+			"open", int64(l.Open), "reserve", int64(l.Reserve), "after_ms", l.UnlockedMillis, "life", c.request.Holder.Incarnation)
 	}
 	for name, s := range resp.Statuses {
 		p.log.Debug("draw", "workspace", string(name), "issued", int64(s.Issued), "free", int64(s.Free),
@@ -123,7 +159,15 @@
 
 // sendDraw sends a draw request to a control daemon.
 func (p *Proxy) sendDraw(ctx context.Context, to string, d wallet.DrawRequest) (wallet.DrawResponse, error) {
-	return peer.CallWithin[wallet.DrawRequest, wallet.DrawResponse](ctx, drawTimeout, p.pool, peer.Seed(to), core.OpDraw, d)
+	return peer.CallWithin[wallet.DrawRequest, wallet.DrawResponse](ctx, lateDrawTimeout, p.pool, peer.Seed(to), core.OpDraw, d)
+}
+
+// sendFinalDraw is sendDraw for a router that stops, which asks the next control daemon
+// after drawTimeout.
+func (p *Proxy) sendFinalDraw(ctx context.Context, to string, d wallet.DrawRequest) (wallet.DrawResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
+	defer cancel()
+	return p.sendDraw(ctx, to, d)
 }
 
 // returnTokens returns all unused tokens to the log or, when the log is
@@ -136,7 +180,7 @@
 	}
 	d := p.wallet.Close(time.Now())
 	for _, to := range append(p.reachableControlAddrs(), p.controlAddrs()...) {
-		if _, err := p.sendDraw(ctx, to, d); err == nil {
+		if _, err := p.sendFinalDraw(ctx, to, d); err == nil {
 			p.log.Info("tokens given back", "at", to)
 			return
 		}
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	budgets *wallet.Budgets // invariant: guarded by mu
 	cut     atomic.Bool     // true while the log does not answer
+	latency atomic.Int64    // time until a draw is answered, in nanoseconds
 	loans   atomic.Int64    // loan requests
 	lent    poplar.Tokens   // tokens of each loan
 }
@@ -42,7 +43,7 @@
 			<-ctx.Done()
 			return wallet.DrawResponse{}, ctx.Err()
 		}
-		time.Sleep(logLatency)
+		time.Sleep(time.Duration(f.latency.Load()))
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return f.budgets.HandleDraw(d, time.Now().UnixMilli()), nil
@@ -56,6 +57,7 @@
 
 func newLargeFleet(t *testing.T) *largeFleet {
 	f := &largeFleet{harness: newHarness(t, script{"a": {"stream 2"}}), budgets: wallet.NewBudgets()}
+	f.latency.Store(int64(logLatency))
 	next := testPlan()
 	next.Revision = 2
 	for i := range next.Workspaces {
@@ -137,3 +139,14 @@
 	assert.Equal(t, f.reserveAtOnce(200), 200)
 	assert.Assert(t, f.loans.Load() <= 4*maxLenders, "%d loan requests for 200 requests", f.loans.Load())
 }
+
+// TestSlowLogSuppliesTokens guards against a router that never gets tokens because its
+// draws take longer than the time after which it makes another one.
+func TestSlowLogSuppliesTokens(t *testing.T) {
+	f := newLargeFleet(t)
+	f.latency.Store(int64(drawTimeout + 100*time.Millisecond))
+	end := time.Now().Add(testTimeout)
+	for f.reserveAtOnce(50) < 50 {
+		assert.Assert(t, time.Now().Before(end), "requests get no tokens")
+	}
+}
--- a/pkg/wallet/wallet.go
+++ b/pkg/wallet/wallet.go
@@ -57,6 +57,12 @@
 	// ready when no tokens are free. It rises linearly to 1 when the whole budget is
 	// free. The rest of such a request is drawn or borrowed.
 	minLargestFraction = 0.2
+	// readyDraws is the number of draws for whose duration the ready tokens last at
+	// least, up to maxReadyTime: the reserve is of no use to a request while a draw is
+	// slow. drawDelayDecay is the weight that the duration of earlier draws keeps.
+	readyDraws     = 2
+	maxReadyTime   = 2 * time.Second
+	drawDelayDecay = 0.8
 	// maxNeededFraction is the largest fraction of the free tokens that a router which
 	// has done all the spending asks for at once beyond what its requests wait for.
 	maxNeededFraction = 0.5
@@ -91,6 +97,8 @@
 	unlockStart         time.Time                     // invariant: guarded by mu; time from which the reserves of the last draw unlock
 	drawNumber          uint64                        // invariant: guarded by mu; number of the last draw
 	drawAnswered        bool                          // invariant: guarded by mu; true when the last draw was answered
+	drawSent            time.Time                     // invariant: guarded by mu; time of the last draw
+	drawDelay           time.Duration                 // invariant: guarded by mu; time until recent draws were answered
 	handOffs            map[Holder]bool               // invariant: guarded by mu; incarnations whose hand-offs were received
 	closed              bool                          // invariant: guarded by mu; true after Close or HandOff
 	routerCount         int                           // invariant: guarded by mu; routers in the last draw response, or 0
@@ -300,6 +308,8 @@
 	d := w.newDraw(now)
 	renewAge := max(minRenewAge, time.Duration(w.routerCount*len(workspaces))*time.Second/maxRenewals)
 	early := map[poplar.Workspace]DrawEntry{}
+	policy := w.policy
+	policy.ReadyTime = min(max(policy.ReadyTime, readyDraws*w.drawDelay), maxReadyTime)
 	for name, grant := range workspaces {
 		if !grant.Bound {
 			continue
@@ -307,7 +317,7 @@
 		b := w.balance(name)
 		b.addDemand(0, now)
 		b.urgent.decay(now)
-		entry, due := b.nextEntry(grant.Tokens, w.policy, w.routerCount, now)
+		entry, due := b.nextEntry(grant.Tokens, policy, w.routerCount, now)
 		age := b.reserveAge(now)
 		switch {
 		case due, entry.Reserve > 0 && age > renewAge:
@@ -353,6 +363,7 @@
 		w.unlockStart = now
 	}
 	w.drawAnswered = false
+	w.drawSent = now
 	w.drawNumber++
 	return DrawRequest{
 		Holder: w.holder, Entries: map[poplar.Workspace]DrawEntry{}, Number: w.drawNumber,
@@ -462,7 +473,21 @@
 	return least
 }
 
-// ApplyDraw applies the response to a draw request.
+// applyLate applies the response to a draw request after which another one was made. The
+// tokens that it issued can be used; which reserve the log assumes is not known. The
+// caller must hold w.mu.
+func (w *Wallet) applyLate(response DrawResponse, now time.Time) {
+	for name, status := range response.Statuses {
+		b := w.balance(name)
+		b.issued = max(b.issued, status.Issued)
+		if response.LogTime > w.lastResponseLogTime {
+			b.status, b.statusTime, b.hasStatus = status, now, true
+		}
+	}
+}
+
+// ApplyDraw applies the response to a draw request. It may be late: another request may
+// have been made meanwhile.
 func (w *Wallet) ApplyDraw(d DrawRequest, response DrawResponse, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -471,10 +496,15 @@
 		// the recorded one. The log has accepted no draw of it, so it can change.
 		w.holder.Incarnation = response.LatestIncarnation + 1
 	}
-	if response.Stale || d.Number != w.drawNumber {
+	if response.Stale {
+		return
+	}
+	if d.Number != w.drawNumber {
+		w.applyLate(response, now)
 		return
 	}
 	w.lastResponse, w.lastResponseLogTime, w.drawAnswered, w.routerCount = now, response.LogTime, true, response.RouterCount
+	w.drawDelay = max(now.Sub(w.drawSent), time.Duration(drawDelayDecay*float64(w.drawDelay)))
 	for name, status := range response.Statuses {
 		b := w.balance(name)
 		b.issued = max(b.issued, status.Issued)
--- a/pkg/wallet/wallet_test.go
+++ b/pkg/wallet/wallet_test.go
@@ -470,3 +470,28 @@
 	c.drawAll()
 	assert.Assert(t, c.serve(0, 500))
 }
+
+// TestLateResponseBringsItsTokens applies the response to a draw after the next draw was
+// made. Its tokens can be used, and the reserves of both draws stay locked.
+func TestLateResponseBringsItsTokens(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	budgets := NewBudgets()
+	grants := map[poplar.Workspace]Grant{testWorkspace: {Tokens: 1_000_000, Bound: true}}
+	budgets.Declare(grants)
+	w := NewWallet(Holder{Name: "r", Incarnation: 1}, DefaultPolicy(), now)
+	assert.Assert(t, !w.Reserve(testWorkspace, 500, now))
+	first, due := w.NextDraw(grants, now)
+	assert.Assert(t, due)
+	response := budgets.HandleDraw(first, now.UnixMilli())
+	now = now.Add(time.Second)
+	second, due := w.NextDraw(grants, now)
+	assert.Assert(t, due)
+	assert.Equal(t, second.Entries[testWorkspace].Issued, poplar.Tokens(0))
+	w.ApplyDraw(first, response, now)
+	assert.Assert(t, w.Reserve(testWorkspace, 500, now))
+	locked := w.Snapshot(testWorkspace, now).Locked
+	w.ApplyDraw(first, response, now)
+	assert.Equal(t, w.Snapshot(testWorkspace, now).Locked, locked)
+	again := budgets.HandleDraw(second, now.UnixMilli())
+	assert.Equal(t, again.Statuses[testWorkspace].Issued, response.Statuses[testWorkspace].Issued, "a draw after a lost response gets nothing")
+}
