Give up a draw at a control daemon when its router makes another one

Since routers wait longer for the answers of their draws, a control daemon proposed each of them for up to 3 s in place of 0.7 s. A daemon now bounds a draw itself.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -39,6 +39,9 @@
 	sendLimit = 400 * time.Millisecond
 	// forwardLimit bounds a proposal that is handed to the leader.
 	forwardLimit = 450 * time.Millisecond
+	// drawLimit bounds a draw of a router, which makes another one then. A router may
+	// read the answer later, but while the log is slow its draws must not add up here.
+	drawLimit = 700 * time.Millisecond
 	// compactSize is the journal's size at which a snapshot replaces it, in
 	// bytes. It bounds the time of a start.
 	compactSize = 1 << 20
@@ -238,6 +241,8 @@
 		return FetchResponse{Revision: held.Revision, Document: held.Document}, nil
 	})
 	m[OpDraw] = peer.Handle(func(ctx context.Context, _ poplar.Daemon, d wallet.DrawRequest) (wallet.DrawResponse, error) {
+		ctx, cancel := context.WithTimeout(ctx, drawLimit)
+		defer cancel()
 		out, err := c.propose(ctx, command{Draw: &d, At: c.replica.now()})
 		if err != nil || out.Drawn == nil {
 			return wallet.DrawResponse{}, err
