Keep the limits that upstreams name for the whole fleet

A router counts what it sends to such an upstream, before it sends. Its start and its end are told to all routers through the control daemons, by records with a number. Requests beyond it go to other upstreams, and are rejected at once if there are none.

Ruled out: equal parts (nothing is sent for minutes in a large fleet), a lease from the log for each request (nothing is sent while cut off).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -19,6 +19,7 @@
 	"poplarbend.example/poplar/internal/loops"
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/internal/voter"
+	"poplarbend.example/poplar/pkg/pace"
 	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/quorum"
 	"poplarbend.example/poplar/pkg/roster"
@@ -93,6 +94,8 @@
 	poisoned   uint64                    // invariant: guarded by mu; grows with each change of poison
 	// poisonedAt is the value of poisoned at the last change of each record.
 	poisonedAt map[poison.Fingerprint]uint64 // invariant: guarded by mu
+	limits     *pace.Book                    // invariant: guarded by mu; limits that upstreams have named
+	limitList  uint64                        // invariant: guarded by mu; grows with each change of limits
 	asked      []poplar.Daemon               // invariant: guarded by mu; whom to ask for the log
 	loops      loops.Runner
 }
@@ -120,6 +123,7 @@
 		ended:    make(chan struct{}),
 		watchers: map[poplar.Daemon]watcher{},
 		poison:   poison.NewRegistry(poison.DefaultSettings()), poisonedAt: map[poison.Fingerprint]uint64{},
+		limits: pace.NewBook(),
 	}
 	c.announced = c.roster.Version()
 	c.asked = names(s.Seeds)
@@ -236,6 +240,10 @@
 		c.learn(records)
 		return struct{}{}, nil
 	})
+	m[OpLimits] = peer.Handle(func(_ context.Context, _ poplar.Daemon, records []pace.Limit) (struct{}, error) {
+		c.learnLimits(records)
+		return struct{}{}, nil
+	})
 	m[OpFetch] = peer.Handle(func(context.Context, poplar.Daemon, struct{}) (FetchResponse, error) {
 		held, _ := c.replica.held()
 		return FetchResponse{Revision: held.Revision, Document: held.Document}, nil
@@ -334,6 +342,7 @@
 	for _, fp := range c.poison.Sweep(c.settings.Clock.Now()) {
 		delete(c.poisonedAt, fp)
 	}
+	c.limits.Sweep(c.settings.Clock.Now())
 	c.roster.Sweep(c.settings.Clock.Now())
 }
 
@@ -369,6 +378,16 @@
 	}
 }
 
+// learnLimits takes limits that upstreams have named to a router.
+func (c *Core) learnLimits(records []pace.Limit) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.limits.Merge(records, c.settings.Clock.Now())) > 0 {
+		c.limitList++
+		c.announce()
+	}
+}
+
 // announce wakes those who wait for the roster or for records of crashes. The
 // caller holds the lock.
 func (c *Core) announce() {
--- a/internal/core/proto.go
+++ b/internal/core/proto.go
@@ -5,6 +5,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/pace"
 	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/roster"
 )
@@ -19,6 +20,8 @@
 	OpDraw  = peer.OpDemand
 	// OpPoison takes records of requests that crash upstreams.
 	OpPoison = peer.OpPoison
+	// OpLimits takes records of limits that upstreams have named.
+	OpLimits = peer.OpUsage
 )
 
 // The operations that routers serve to each other.
@@ -43,6 +46,8 @@
 	Delta bool `json:"delta,omitempty"`
 	// RouterList is the version of the list of routers in the last answer.
 	RouterList uint64 `json:"fleet,omitempty"`
+	// LimitList is the version of the limits of upstreams in the last answer.
+	LimitList uint64 `json:"limiting,omitempty"`
 }
 
 // WatchResponse answers a Watch.
@@ -58,6 +63,9 @@
 	// changed since, or all in the first answer of a daemon.
 	Poison  uint64          `json:"poison,omitempty"`
 	Records []poison.Record `json:"records,omitempty"`
+	// Limits is set when LimitList differs from the question. It holds all limits.
+	LimitList uint64       `json:"limiting,omitempty"`
+	Limits    []pace.Limit `json:"limits,omitempty"`
 	// ControlAddrs are the peer addresses of the control daemons.
 	ControlAddrs []string `json:"cores"`
 	// FollowsLog is true while the daemon is in contact with a leader of the log,
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -33,7 +33,8 @@
 	defer limit.Stop()
 	for wait := !w.Immediate; ; {
 		seen, config, list := c.look(w)
-		if !wait || seen.Incarnation != w.Incarnation || seen.Roster != w.Roster || seen.Poison != w.Poison || seen.Revision > w.Revision {
+		if !wait || seen.Incarnation != w.Incarnation || seen.Roster != w.Roster || seen.Poison != w.Poison || seen.LimitList != w.LimitList ||
+			seen.Revision > w.Revision {
 			return seen, nil
 		}
 		select {
@@ -54,6 +55,7 @@
 	defer c.mu.Unlock()
 	seen = WatchResponse{
 		Incarnation: c.life, Revision: held.Revision, Roster: c.announced, Poison: c.poisoned, RouterList: c.routerList,
+		LimitList: c.limitList,
 	}
 	switch {
 	case w.Incarnation != c.life || (w.Roster != seen.Roster && !w.Delta):
@@ -68,6 +70,9 @@
 			}
 		}
 	}
+	if w.Incarnation != c.life || w.LimitList != seen.LimitList {
+		seen.Limits = c.limits.Limits()
+	}
 	if w.Incarnation != c.life || w.RouterList != seen.RouterList {
 		for _, r := range c.watchers {
 			seen.Routers = append(seen.Routers, r.address)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -196,11 +196,12 @@
 func (x *exchange) pickOf(v *view, prompt place.Prompt, indexes []int) (chosen *upstream, suspect bool) {
 	group, longPrompt, maxOpen := v.services[x.service], v.longPrompt[x.service], v.maxConnections(x.service)
 	now := time.Now()
+	paces := x.p.pacer(v, now)
 	candidates := make([]place.Candidate, len(indexes))
 	for n, i := range indexes {
 		u := group[i]
 		candidates[n] = u.candidate(prompt, x.p.settings.Domain, maxOpen, now)
-		candidates[n].Excluded = candidates[n].Excluded || x.tried[u]
+		candidates[n].Excluded = candidates[n].Excluded || x.tried[u] || !paces.allows(u)
 		candidates[n].LongPrompts = longPrompt[i]
 	}
 	n := x.p.model.Choose(prompt, candidates, maphash.String(hashSeed, x.env.ID))
@@ -213,6 +214,9 @@
 // try makes one attempt at u.
 func (x *exchange) try(u *upstream) result {
 	now := time.Now()
+	if !x.p.pacer(x.p.view.Load(), now).take(u) {
+		return resultNotSent // another request was faster
+	}
 	connectBy := now.Add(connectTimeout)
 	if connectBy.After(x.deadline) {
 		connectBy = x.deadline
@@ -237,7 +241,7 @@
 		x.p.metrics.resumed.Add(1)
 	}
 	x.runs++ // undone if the upstream refuses the request
-	a := &attempt{x: x, u: u, uncached: uncached, reused: conn.Reused()}
+	a := &attempt{x: x, u: u, uncached: uncached, reused: conn.Reused(), sentAt: time.Now()}
 	defer a.noteFirstByte()
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
@@ -355,6 +359,7 @@
 	stall        *stallTimer
 	uncached     poplar.Tokens
 	reused       bool // true if the connection has carried another request
+	sentAt       time.Time
 	gotFirstByte bool // invariant: true once the first byte was received
 	complete     bool // invariant: true once the response was read to its end
 	err          error
@@ -388,6 +393,7 @@
 	// come. The connection is closed unless the whole body was read.
 	head := dialect.Head(resp)
 	good := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+	x.p.hearPace(a.u, head, a.sentAt, time.Now())
 	a.u.headReceived(head, resp.StatusCode >= http.StatusInternalServerError && !head.NotRun, time.Now())
 	switch {
 	case head.WrongUpstream:
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -77,6 +77,7 @@
 	wallet   *wallet.Wallet
 	metrics  metrics
 	suspects *suspects
+	paces    *paces
 
 	view         atomic.Pointer[view]
 	viewMu       sync.Mutex                // invariant: held while view is replaced
@@ -124,6 +125,7 @@
 		wallet:       wallet.NewWallet(s.Holder, wallet.DefaultPolicy(), time.Now()),
 		metrics:      newMetrics(s.Vars),
 		suspects:     newSuspects(rand.Float64()),
+		paces:        newPaces(),
 		reportWake:   make(chan struct{}, 1),
 		drawWake:     make(chan struct{}, 1),
 		drawDone:     make(chan struct{}),
@@ -226,6 +228,7 @@
 func (p *Proxy) sweep(context.Context) {
 	p.logShortage()
 	p.suspects.sweep(time.Now())
+	p.paces.sweep(time.Now())
 	accepting := map[string]bool{}
 	for _, group := range p.view.Load().services {
 		for _, u := range group {
@@ -266,14 +269,21 @@
 // retrySlack returns this router's share of the fleet's slack. It is 0 until
 // routerSettleTime has passed.
 func (p *Proxy) retrySlack(now time.Time) float64 {
-	p.routerMu.Lock()
-	defer p.routerMu.Unlock()
-	if len(p.routers) == 0 || now.Before(p.slackStart) {
+	if !p.routersSettled(now) {
 		return 0
 	}
+	p.routerMu.Lock()
+	defer p.routerMu.Unlock()
 	return retryShare * p.settings.RetryBudget.Slack / float64(len(p.routers))
 }
 
+// routersSettled reports whether enough routers are known to divide what all of them share.
+func (p *Proxy) routersSettled(now time.Time) bool {
+	p.routerMu.Lock()
+	defer p.routerMu.Unlock()
+	return len(p.routers) > 0 && !now.Before(p.slackStart)
+}
+
 // takeRetry reports whether the service may be sent another retry, and counts
 // the retry if so.
 func (p *Proxy) takeRetry(service poplar.Service, now time.Time) bool {
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -241,10 +241,11 @@
 	}
 }
 
-// reportLoop runs reportOnce periodically and when a crash is queued.
+// reportLoop runs reportOnce periodically and when a crash or a limit is queued.
 func (p *Proxy) reportLoop() { loops.Tick(p.ctx, reportPeriod, p.reportWake, p.reportOnce) }
 
 func (p *Proxy) reportOnce(ctx context.Context) {
+	p.reportLimits(ctx)
 	records := p.suspects.takeUnreported()
 	if len(records) == 0 {
 		return
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -137,7 +137,12 @@
 	if len(resp.Records) > 0 {
 		p.suspects.learn(resp.Records)
 	}
-	w.next = core.Watch{Incarnation: resp.Incarnation, Roster: resp.Roster, Poison: resp.Poison, RouterList: resp.RouterList}
+	if len(resp.Limits) > 0 {
+		p.learnLimits(resp.Limits)
+	}
+	w.next = core.Watch{
+		Incarnation: resp.Incarnation, Roster: resp.Roster, Poison: resp.Poison, RouterList: resp.RouterList, LimitList: resp.LimitList,
+	}
 	if resp.Revision > req.Revision {
 		w.fetchConfig(resp)
 	}
--- a/proto_route.go
+++ b/proto_route.go
@@ -66,6 +66,15 @@
 	HasLoad          bool
 	Running, Waiting int
 	Slots            int
+	// Leaving is true when the upstream says that it leaves.
+	Leaving bool
+	// Pause is the time for which an upstream that refused the request wants nothing, 0
+	// if it does not say.
+	Pause time.Duration
+	// HasLimit is true when the upstream limits the requests of the whole fleet, to Limit
+	// a second.
+	HasLimit bool
+	Limit    float64
 }
 
 // Dialect reads and writes the headers of callers' requests and upstreams'
