Send nothing to an upstream while it wants nothing

If all upstreams of a service pause, a request is rejected at once and told when the first pause ends.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -149,7 +149,7 @@
 		name = string(x.upstream.name)
 	}
 	if x.runs == 0 {
-		return poplar.Failf(poplar.StepPick, poplar.CodeNone, "%s", reason).At(name).Ran(poplar.RunNo).After(time.Now().Add(retryDelay))
+		return poplar.Failf(poplar.StepPick, poplar.CodeNone, "%s", reason).At(name).Ran(poplar.RunNo).After(x.p.retryTime(x.service, time.Now()))
 	}
 	return poplar.Failf(poplar.StepStream, poplar.CodeUpstream, "%s", reason).At(name)
 }
--- a/internal/proxy/paces.go
+++ b/internal/proxy/paces.go
@@ -82,6 +82,15 @@
 	return p.book.Take(u.run(), share, now)
 }
 
+func (p *paces) pauseEnd(u *upstream) time.Time {
+	if !p.asked.Load() {
+		return time.Time{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.PauseEnd(u.run())
+}
+
 // takeUnreported returns the records that are still to be reported, and clears them.
 func (p *paces) takeUnreported() []pace.Limit {
 	p.mu.Lock()
@@ -162,3 +171,26 @@
 	}
 	return pace.Share(u.name, rate, c.routers, c.proxy.settings.Address)
 }
+
+// retryTime returns when a caller whose request no upstream of the service takes may come
+// back: when the first pause ends if all upstreams pause for longer than the usual delay.
+func (p *Proxy) retryTime(service poplar.Service, now time.Time) time.Time {
+	usual := now.Add(retryDelay)
+	var first time.Time
+	for _, u := range p.view.Load().services[service] {
+		if !u.acceptsWork() {
+			continue
+		}
+		end := p.paces.pauseEnd(u)
+		if end.Before(usual) {
+			return usual
+		}
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	if first.IsZero() {
+		return usual
+	}
+	return first
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -55,7 +55,8 @@
 
 func (dialect) Head(resp *http.Response) poplar.Head {
 	h := resp.Header
-	return poplar.Head{ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Unrun") != "" || resp.StatusCode == 421, WrongUpstream: resp.StatusCode == 421}
+	pause, _ := strconv.Atoi(h.Get("Pause"))
+	return poplar.Head{Pause: time.Duration(pause) * time.Second, ID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Unrun") != "" || resp.StatusCode == 421, WrongUpstream: resp.StatusCode == 421}
 }
 
 // harness is a router with scripted upstreams.
@@ -144,6 +145,7 @@
 //   - ok: a complete response
 //   - fail: status 500
 //   - full: refused as not run
+//   - wait N: refused as not run, with a pause of N seconds
 //   - other: status 421, as from another upstream at the same address
 //   - reset: the connection is closed without a response
 //   - mute: no response until the request is cancelled
@@ -168,6 +170,9 @@
 	case "fail":
 		w.WriteHeader(http.StatusInternalServerError)
 		fmt.Fprint(w, u.name)
+	case "wait":
+		w.Header().Set("Pause", arg)
+		fallthrough
 	case "full":
 		w.Header().Del("Seal")
 		w.Header().Set("Unrun", "1")
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -15,7 +15,11 @@
 )
 
 // restart gives the router a roster in which one upstream was restarted.
-func (h *harness) restart(name poplar.Upstream) {
+func (h *harness) restart(name poplar.Upstream) { h.proxy.setUpstreams(h.entriesAfterRestart(name)) }
+
+// entriesAfterRestart returns the roster in which the named upstream, if there is one, has
+// just started again.
+func (h *harness) entriesAfterRestart(name poplar.Upstream) []roster.Entry {
 	var entries []roster.Entry
 	for service, group := range h.proxy.view.Load().services {
 		for _, u := range group {
@@ -29,7 +33,7 @@
 			entries = append(entries, roster.Entry{Announcement: announcement})
 		}
 	}
-	h.proxy.setUpstreams(entries)
+	return entries
 }
 
 // TestCrashingRequestIsRefused sends a request that crashes each upstream that
--- a/pkg/pace/book.go
+++ b/pkg/pace/book.go
@@ -186,6 +186,14 @@
 	return rate == 0 || e.bucket.level(share(rate), now) >= 1
 }
 
+// PauseEnd returns the end of the pause that an upstream has asked for, or the zero time.
+func (b *Book) PauseEnd(r Run) time.Time {
+	if e := b.entries[r]; e != nil {
+		return e.pauseEnd
+	}
+	return time.Time{}
+}
+
 // Take counts a request that is about to be sent. It returns false if it must not be.
 func (b *Book) Take(r Run, share func(rate float64) float64, now time.Time) bool {
 	if !b.Allows(r, share, now) {
