Heed upstreams of the serving fleet that leave or pause

TestUpstreamThatAsksForNothingGetsNothing: upstreams that leave or pause got 3 and 4 of 8 calls before, one each now. A limit on the requests of all routers (Server-Limit) is not read by internal/edge; its daemons have no records of limits.

--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -110,9 +111,32 @@
 		return nil, err
 	}
 	h.recordActivity()
+	h.heed()
 	return h, nil
 }
 
+// maxPause bounds the time that an upstream may name, so that times with it cannot
+// overflow.
+const maxPause = 24 * time.Hour
+
+// heed takes what the response asks for beside its answer: no new requests at all, or none
+// for some time.
+func (h *hop) heed() {
+	header := h.response.Header
+	if strings.TrimSpace(header.Get(poplar.HeaderLeaving)) == "1" {
+		h.state.Leave()
+	}
+	if h.response.StatusCode != http.StatusServiceUnavailable {
+		return
+	}
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(header.Get(poplar.HeaderRetry)), 64)
+	if err != nil || !(seconds > 0) { // NaN is not
+		return
+	}
+	pause := time.Duration(min(seconds, maxPause.Seconds()) * float64(time.Second))
+	h.state.Pause(h.call.edge.conf.Clock.Now().Add(pause))
+}
+
 // connectionTrace returns a trace that marks the call as dispatched as soon as it
 // has a connection, since from then on bytes may reach the upstream.
 func (c *call) connectionTrace() *httptrace.ClientTrace {
--- a/internal/edge/services_test.go
+++ b/internal/edge/services_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -115,3 +116,37 @@
 	assert.Equal(t, h.request(s, "POST", "/svc/desk/claims", "{}", key...).StatusCode, 200)
 	assert.Equal(t, service.Total(), 1)
 }
+
+// TestUpstreamThatAsksForNothingGetsNothing has an upstream that says in its answers that
+// it leaves, and one that refuses calls and names a time.
+func TestUpstreamThatAsksForNothingGetsNothing(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		full   bool
+		header http.Header
+	}{
+		{"leave", false, http.Header{poplar.HeaderLeaving: {"1"}}},
+		{"pause", true, http.Header{poplar.HeaderRetry: {"60"}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 100000)
+			_, daemon := h.startDaemon("a")
+			first, second := h.startService("s1"), h.startService("s2")
+			first.Say(c.full, c.header)
+			second.Say(c.full, c.header)
+			for range 8 {
+				response := h.request(daemon, "GET", "/svc/desk/status/7", "")
+				_, err := io.Copy(io.Discard, response.Body)
+				assert.NilError(t, err)
+			}
+			for _, s := range []*fake.Service{first, second} {
+				assert.Equal(t, s.Total()+s.Refused(), 1)
+			}
+			third := h.startService("s3")
+			eventually(t, "an upstream that asks for nothing special", func() bool {
+				return h.request(daemon, "GET", "/svc/desk/status/7", "").StatusCode == http.StatusOK
+			})
+			assert.Assert(t, third.Total() > 0)
+		})
+	}
+}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -28,9 +29,12 @@
 	beacon *beacon
 	host   *host
 
-	mu   sync.Mutex
-	runs map[string]int // invariant: guarded by mu; by request id
-	open int            // invariant: guarded by mu
+	mu      sync.Mutex
+	runs    map[string]int // invariant: guarded by mu; by request id
+	open    int            // invariant: guarded by mu
+	refused int            // invariant: guarded by mu; calls that were refused
+	full    bool           // invariant: guarded by mu; true while calls are refused
+	extra   http.Header    // invariant: guarded by mu; headers of all answers
 }
 
 // StartService listens, announces itself and serves until Leave or Kill.
@@ -72,6 +76,32 @@
 	return total
 }
 
+// Say sets headers of all further answers, and whether they are refusals with 503.
+func (s *Service) Say(full bool, header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.full, s.extra = full, header
+}
+
+// Refused returns the number of calls that were refused.
+func (s *Service) Refused() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused
+}
+
+// refuse writes what Say has set. It reports whether the call is refused.
+func (s *Service) refuse(w http.ResponseWriter) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.Copy(w.Header(), s.extra)
+	if s.full {
+		s.refused++
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return s.full
+}
+
 // Leave announces that the service takes no new work, waits until ctx is done
 // for open calls, and stops.
 func (s *Service) Leave(ctx context.Context) {
@@ -111,6 +141,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.refuse(w) {
+		return
+	}
 	id := r.Header.Get(poplar.HeaderRequest)
 	run := s.begin(id)
 	defer s.end()
--- a/internal/intake/roster.go
+++ b/internal/intake/roster.go
@@ -125,6 +125,7 @@
 	restarted := m.peer.notice.Incarnation != 0 && m.peer.notice.Incarnation != n.Incarnation
 	if restarted {
 		m.peer.gauge.ResetCache()
+		m.peer.gauge.Restart()
 		m.report = route.Report{}
 	}
 	fresh := m.left || changed(m.peer.notice, n)
@@ -242,6 +243,7 @@
 	g := r.members[name].peer.gauge
 	delete(r.members, name)
 	g.ResetCache()
+	g.Restart()
 	g.SetLimit(0)
 	g.Eject(time.Time{})
 	r.free = append(r.free, g)
--- a/pkg/route/local_state.go
+++ b/pkg/route/local_state.go
@@ -31,6 +31,8 @@
 	slowdown       atomic.Uint64              // float64 bits, >= 1; factor over the nominal duration
 	cacheTrust     atomic.Uint64              // float64 bits in [0, 1]; mean found share of the expected cached tokens
 	ejectedUntil   atomic.Int64               // Unix nanoseconds until which the upstream is ejected
+	pausedUntil    atomic.Int64               // Unix nanoseconds until which the upstream wants no requests
+	left           atomic.Bool                // true once an answer said that the upstream leaves
 	exclusive      atomic.Bool                // true while the upstream is reserved for a request that must run alone
 	slot           uint16                     // identifies the upstream in the prefix index
 	generation     atomic.Uint32              // generation of the prefix entries, reduced modulo 255 in an entry
@@ -114,6 +116,26 @@
 // Ejected reports whether the upstream is ejected at now.
 func (s *LocalState) Ejected(now time.Time) bool { return now.UnixNano() < s.ejectedUntil.Load() }
 
+// Pause stops new requests until the given time, which the upstream has named. Unlike an
+// ejection it is never shortened.
+func (s *LocalState) Pause(until time.Time) {
+	for {
+		old := s.pausedUntil.Load()
+		if until.UnixNano() <= old || s.pausedUntil.CompareAndSwap(old, until.UnixNano()) {
+			return
+		}
+	}
+}
+
+// Leave stops new requests to the upstream, one of whose answers said that it leaves.
+func (s *LocalState) Leave() { s.left.Store(true) }
+
+// Restart ends what an earlier run of the upstream has asked for.
+func (s *LocalState) Restart() {
+	s.pausedUntil.Store(0)
+	s.left.Store(false)
+}
+
 // AcquireExclusive reserves the upstream for one request that must run alone. It
 // returns false if the upstream is reserved already. Pick does not choose the
 // upstream until ReleaseExclusive is called.
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -87,7 +87,8 @@
 }
 
 func (c *Candidate) eligible(now int64) bool {
-	return !c.leaving && now < c.validUntil && now >= c.state.ejectedUntil.Load() && !c.state.exclusive.Load()
+	s := c.state
+	return !c.leaving && !s.left.Load() && now < c.validUntil && now >= s.ejectedUntil.Load() && now >= s.pausedUntil.Load() && !s.exclusive.Load()
 }
 
 // Table is an immutable snapshot of the upstreams as seen by a router in one
--- a/proto_upstream.go
+++ b/proto_upstream.go
@@ -154,4 +154,10 @@
 	// the token of the given number on. An upstream that does not know the
 	// request answers 404 and runs nothing.
 	HeaderResume = "X-Resume-From"
+	// HeaderLeaving is "1" in the answers of an upstream that leaves: it takes no new
+	// work in this life, as after Leave.
+	HeaderLeaving = "Server-Leaving"
+	// HeaderRetry is how long an upstream that refuses a request with 503 wants nothing
+	// more, in seconds.
+	HeaderRetry = "Retry-After"
 )
