Deliver nothing that does not continue a resumed stream

A stream broke off after some events, and the upstream that was to resume it answered with success and something else, such as the text of an error: the text was written into the caller's stream, which then ended as complete. Failures and refusals were kept out already.

A resumed answer must begin with an event that has an id, and must not end inside an event; else the attempt is broken. answers.txt: "resumed ok" gave status 200 and the text before, a cut stream now.

--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -154,6 +154,7 @@
 //   - pause: a complete stream with a pause that is longer than the stall timeout
 //   - stream N: the events up to N of 6; the response breaks off after event N,
 //     or is complete if N is 6
+//   - resumed ACTION: stream 3, and the action for a request that resumes it
 //   - bare N: the same without a length or chunks; the connection is not reset
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
@@ -164,6 +165,11 @@
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Seal", u.name)
 	action, arg, _ := strings.Cut(u.next(), " ")
+	if action == "resumed" && r.Header.Get("After") == "" {
+		action, arg = "stream", "3"
+	} else if action == "resumed" {
+		action, arg, _ = strings.Cut(arg, " ")
+	}
 	switch action {
 	case "ok":
 		fmt.Fprintf(w, "%s %s %s", u.name, r.Header.Get("Workspace"), body)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -23,9 +23,10 @@
 const maxEventSize = 1 << 20
 
 var (
-	errEventTooLong = errors.New("event exceeds the size limit")
-	errCutEvent     = errors.New("stream ended inside an event")
-	errEventOrder   = errors.New("event id is not greater than the previous one")
+	errEventTooLong   = errors.New("event exceeds the size limit")
+	errCutEvent       = errors.New("stream ended inside an event")
+	errNoContinuation = errors.New("the answer does not continue the stream")
+	errEventOrder     = errors.New("event id is not greater than the previous one")
 )
 
 // stream forwards the events of a response. Each event is forwarded as a whole,
@@ -34,11 +35,16 @@
 	x := a.x
 	reader := bufio.NewReaderSize(resp.Body, eventBufferSize)
 	control := http.NewResponseController(x.w)
+	resumed, first := x.headerWritten, true
 	var event []byte
 	for {
 		var err error
 		event, err = readEvent(reader, event[:0])
 		a.stall.reset()
+		if resumed && len(event) > 0 && !continues(event, first, err) {
+			err = errNoContinuation
+		}
+		first = false
 		if err == nil && !x.acceptEvent(event) {
 			err = errEventOrder
 		}
@@ -78,6 +84,17 @@
 	}
 }
 
+// continues reports whether data of a resumed stream, the first of it or not, may follow
+// the events that were delivered. Something else than the rest of the stream, such as the
+// text of an error with a status of success, has no event id or ends inside an event.
+func continues(event []byte, first bool, err error) bool {
+	if err != nil {
+		return false
+	}
+	_, ok := eventID(event)
+	return ok || !first
+}
+
 // eventBuffered reports whether another whole event is buffered, so that one
 // flush can send both.
 func eventBuffered(r *bufio.Reader) bool {
