Ignore what an upstream with the address of another one asks for

An answer with status 421 comes from another upstream. Its limit, leave or pause would have been taken for that of the one that the router meant (TestOtherUpstreamSetsNoPace).

--- a/internal/proxy/paces.go
+++ b/internal/proxy/paces.go
@@ -107,9 +107,10 @@
 	p.asked.Store(p.book.Len() > 0)
 }
 
-// hearPace takes what the head of an answer of u asks for.
+// hearPace takes what the head of an answer of u asks for. What another upstream at its
+// address says is not about u.
 func (p *Proxy) hearPace(u *upstream, head poplar.Head, sentAt, now time.Time) {
-	if !p.paces.hear(u, head, sentAt, now) {
+	if head.WrongUpstream || !p.paces.hear(u, head, sentAt, now) {
 		return
 	}
 	p.log.Info("limit", "upstream", string(u.name), "limited", head.HasLimit, "rate", head.Limit)
--- a/internal/proxy/paces_test.go
+++ b/internal/proxy/paces_test.go
@@ -4,8 +4,11 @@
 	"net/http"
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarbend.example/poplar"
 )
 
 // TestCallerLearnsWhenPausesEnd has upstreams that pause: they get no other request, and
@@ -34,3 +37,15 @@
 	h.restart("a")
 	assert.Equal(t, h.call(t.Context(), http.MethodPost, "unsafe", "k").status, http.StatusOK)
 }
+
+// TestOtherUpstreamSetsNoPace hears what another upstream at the same address asks for.
+func TestOtherUpstreamSetsNoPace(t *testing.T) {
+	h := newHarness(t, script{"a": {"ok"}})
+	u, now := h.proxy.upstreamNamed("a"), time.Now()
+	asks := poplar.Head{NotRun: true, WrongUpstream: true, Leaving: true, HasLimit: true, Limit: 1, Pause: time.Minute}
+	h.proxy.hearPace(u, asks, now, now)
+	assert.Assert(t, h.proxy.pacer(h.proxy.view.Load(), now).allows(u))
+	asks.WrongUpstream = false
+	h.proxy.hearPace(u, asks, now, now)
+	assert.Assert(t, !h.proxy.pacer(h.proxy.view.Load(), now).allows(u))
+}
