Draw less often while the log of a large fleet is slow

Requests of all workspaces lacked tokens.

Cause: a router with requests that wait drew again as soon as a draw was given up. After the separation all 295 did, with all their workspaces, which is more than the log takes; every draw was worked on after its router had given it up.

A router now rests after a draw for twice the time that it took, and while draws fail, waits for up to four times the usual period of the fleet, whatever waits. When a control daemon answers again, it draws within one such period. Nothing changes in small fleets, whose period is shorter than the pause between draws.

--- a/internal/proxy/draw.go
+++ b/internal/proxy/draw.go
@@ -20,10 +20,6 @@
 // Timeouts and periods of draw requests and loans.
 const (
 	drawPeriod = 350 * time.Millisecond
-	// drawPeriodPerRouter is the time between two draws of a router for each
-	// router of the fleet, if it exceeds drawPeriod and no request waits for
-	// tokens. It bounds the draws that the log takes from all routers.
-	drawPeriodPerRouter = 3 * time.Millisecond
 	// drawTimeout is the time after which another draw request is made, perhaps to
 	// another control daemon. A response is used until lateDrawTimeout.
 	drawTimeout     = 700 * time.Millisecond
@@ -76,7 +72,10 @@
 // response to the wallet.
 func (p *Proxy) draw(t *plan.Table) {
 	now := time.Now()
-	if now.Before(p.nextDraw) && !p.wallet.Waiting() {
+	if p.controlRegained.Swap(false) {
+		p.drawTimes.regained(now, len(p.view.Load().routers))
+	}
+	if !p.drawTimes.due(now, p.wallet.Waiting()) {
 		return
 	}
 	addrs := p.reachableControlAddrs()
@@ -87,7 +86,7 @@
 	if !due || len(addrs) == 0 {
 		return
 	}
-	p.nextDraw = now.Add(time.Duration(len(p.view.Load().routers)) * drawPeriodPerRouter)
+	p.drawTimes.made(now, len(p.view.Load().routers))
 	to := addrs[rand.IntN(len(addrs))]
 	// The leader needs no second hop. When it has just failed to answer, another
 	// control daemon is asked, which may know of a new leader.
@@ -103,7 +102,9 @@
 	case <-c.done:
 		if c.err != nil {
 			p.drawFailed(to, c.err)
+			break
 		}
+		p.drawTimes.answered(time.Now())
 	case <-timer.C:
 		p.drawFailed(to, errDrawSlow)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -85,14 +85,15 @@
 	draining     atomic.Bool
 	openRequests atomic.Int64 // callers' requests in progress
 
-	reportWake   chan struct{}
-	drawWake     chan struct{}
-	nextDraw     time.Time   // invariant: used only by drawLoop; no draw before it unless a request waits
-	drawsSucceed atomic.Bool // true if the last draw request was answered
-	drewOnce     atomic.Bool // true once a draw request was answered
-	drawMu       sync.Mutex
-	drawDone     chan struct{} // invariant: guarded by drawMu; closed at the next draw response
-	shortages    shortageLog   // invariant: used only by sweepLoop
+	reportWake      chan struct{}
+	drawWake        chan struct{}
+	drawTimes       drawTimes   // invariant: used only by drawLoop
+	controlRegained atomic.Bool // true once a control daemon answers again, until drawLoop takes notice
+	drawsSucceed    atomic.Bool // true if the last draw request was answered
+	drewOnce        atomic.Bool // true once a draw request was answered
+	drawMu          sync.Mutex
+	drawDone        chan struct{} // invariant: guarded by drawMu; closed at the next draw response
+	shortages       shortageLog   // invariant: used only by sweepLoop
 
 	lenderMu   sync.Mutex
 	lenders    map[string]lender               // invariant: guarded by lenderMu; keyed by peer address
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -178,6 +178,7 @@
 	defer p.watcherMu.Unlock()
 	if w.lost {
 		w.lost = false
+		p.controlRegained.Store(true)
 		p.log.Info("control regained", "at", w.address, "led", resp.FollowsLog)
 	}
 	w.leads = resp.Leads
