--- a/proto_upstream.go
+++ b/proto_upstream.go
@@ -156,7 +156,7 @@
 	HeaderResume = "X-Resume-From"
 	// HeaderLeaving is "1" in the answers of an upstream that leaves: it takes no new
 	// work in this life, as after Leave.
-	HeaderLeaving = "Server-Leaving"
+	HeaderLeaving = "X-Leaving"
 	// HeaderRetry is how long an upstream that refuses a request with 503 wants nothing
 	// more, in seconds.
 	HeaderRetry = "Retry-After"
