Send nothing on for callers that have left

Cause: a router that is short of processor time reads requests late. It learned of the end of a connection from the context of net/http, which ends when a goroutine has read it, and that goroutine ran after the one that sent the request.

Before each send the kernel is asked (one call), and the deadline is compared with the time; a connection that was made in vain goes to the pool. The routers of `poplarbend serve` had the same fault, but for requests with a key, whose work is kept.

That processor time is short is not mended by this.

Ruled out: the age of the last data on the connection, by TCP_INFO, to count deadlines from the arrival of a request: it is always 0 on the users' platform.

--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -135,6 +135,9 @@
 	return err == nil && quiet
 }
 
+// Put gives back a connection on which no request was sent.
+func (p *Pool) Put(c *Conn) { p.put(c, 0) }
+
 // put keeps a connection for later use.
 func (p *Pool) put(c *Conn, keep time.Duration) {
 	limit := idleLimit
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/caller"
 	"poplarbend.example/poplar/internal/conf"
 	"poplarbend.example/poplar/pkg/admit"
 	"poplarbend.example/poplar/pkg/fair"
@@ -167,6 +168,13 @@
 	}
 }
 
+// abandoned reports whether the caller has disconnected and nothing may be sent for it,
+// see onDisconnect. It does not rely on the context, which ends late while processor time
+// is short.
+func (c *call) abandoned() bool {
+	return (!c.keyed || !c.dispatched.Load()) && caller.Left(c.request.Context())
+}
+
 func (c *call) onAbort() { c.cancel(errAborted) }
 
 // serve runs the steps from admission on.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/caller"
 	"poplarbend.example/poplar/internal/conf"
 	"poplarbend.example/poplar/internal/fault"
 	"poplarbend.example/poplar/internal/intake"
@@ -137,6 +138,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       l.Idle,
 		MaxHeaderBytes:    l.Header,
+		ConnContext:       caller.ConnContext,
 	}
 }
 
--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -83,6 +83,10 @@
 // still counts as not dispatched.
 func (a *attempt) open(out outgoingRequest) (*hop, error) {
 	c := a.call
+	if c.abandoned() {
+		c.cancel(errDisconnected)
+		return nil, c.contextError(poplar.StepStream).At(string(a.target.name()))
+	}
 	h := &hop{
 		call: c, upstream: a.target.name(), incarnation: a.target.peer.Notice().Incarnation, fingerprint: poison.Fingerprint(c.digest),
 		address: a.target.peer.Notice().Address,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
+	"poplarbend.example/poplar/internal/caller"
 	"poplarbend.example/poplar/internal/conf"
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/internal/trace"
@@ -180,7 +181,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: quietLog()}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ErrorLog: quietLog(), ConnContext: caller.ConnContext}
 	go p.run(s, newDrainingListener(listener))
 	return s, nil
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/caller"
 	"poplarbend.example/poplar/internal/conns"
 	"poplarbend.example/poplar/pkg/place"
 	"poplarbend.example/poplar/pkg/plan"
@@ -157,7 +158,7 @@
 // expired ends a request whose caller has disconnected or whose deadline has
 // passed. At the deadline it delivers the fallback response if there is one.
 func (x *exchange) expired() *poplar.Error {
-	if x.r.Context().Err() != nil {
+	if x.callerLeft || x.r.Context().Err() != nil {
 		return poplar.Failf(poplar.StepStream, poplar.CodeCancelled, "caller disconnected")
 	}
 	if x.fallback != nil && !x.headerWritten {
@@ -211,27 +212,43 @@
 	return group[indexes[n]], candidates[n].Suspect
 }
 
-// try makes one attempt at u.
-func (x *exchange) try(u *upstream) result {
-	now := time.Now()
+// connect returns a connection to u on which the request may be sent now, or the outcome
+// of an attempt without one.
+func (x *exchange) connect(u *upstream, now time.Time) (*conns.Conn, result) {
+	if x.over(now) {
+		return nil, resultEnded
+	}
 	if !x.p.pacer(x.p.view.Load(), now).take(u) {
-		return resultNotSent // another request was faster
+		return nil, resultNotSent // another request was faster
 	}
 	connectBy := now.Add(connectTimeout)
 	if connectBy.After(x.deadline) {
 		connectBy = x.deadline
 	}
 	conn, err := x.p.conns.Get(x.ctx, u.address, connectBy, x.connUsedSince(now))
-	if err != nil {
-		if x.ctx.Err() != nil {
-			return resultEnded
-		}
-		u.connectFailed(time.Now())
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			x.p.reportCrash(u)
-		}
-		x.p.log.Info("unreached", "id", x.env.ID, "upstream", string(u.name), "at", u.address, "error", err)
-		return resultNotSent
+	switch {
+	case err == nil && !conn.Reused() && x.over(time.Now()):
+		x.p.conns.Put(conn)
+		return nil, resultEnded
+	case err == nil:
+		return conn, resultDone
+	case x.ctx.Err() != nil:
+		return nil, resultEnded
+	}
+	u.connectFailed(time.Now())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		x.p.reportCrash(u)
+	}
+	x.p.log.Info("unreached", "id", x.env.ID, "upstream", string(u.name), "at", u.address, "error", err)
+	return nil, resultNotSent
+}
+
+// try makes one attempt at u.
+func (x *exchange) try(u *upstream) result {
+	now := time.Now()
+	conn, failed := x.connect(u, now)
+	if conn == nil {
+		return failed
 	}
 	uncached := x.env.Prompt - x.cachedTokens(u)
 	u.requestSent(uncached)
@@ -272,6 +289,13 @@
 	return outcome
 }
 
+// over reports whether nobody waits for the request any more. It is asked before each
+// send and does not rely on the context, which ends late while processor time is short.
+func (x *exchange) over(now time.Time) bool {
+	x.callerLeft = x.callerLeft || caller.Left(x.r.Context())
+	return x.callerLeft || !now.Before(x.deadline)
+}
+
 // connUsedSince returns the time since which an idle connection must have been
 // used to carry the request. The zero time allows any connection. A retry needs
 // a new connection: the failure of the first attempt may have affected idle
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -54,6 +54,7 @@
 	runs          int       // invariant: number of times that an upstream may have run it
 	retryTaken    bool      // invariant: true if the next retry is already counted
 	resumeBy      time.Time // invariant: end of the wait for a resume, or zero before the first wait
+	callerLeft    bool      // invariant: true once the caller was seen to have closed its connection
 	headerWritten bool      // invariant: true once the response header was written
 	firstByteAt   time.Time
 	events        int
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -17,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/caller"
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/internal/trace"
 	"poplarbend.example/poplar/pkg/plan"
@@ -461,3 +463,14 @@
 	h.proxy.addRouters([]string{"r1"}, now.Add(routerRetention+time.Second))
 	assert.Equal(t, len(h.proxy.view.Load().routers), 1)
 }
+
+// serveLate serves callers at another listener, which accepts nothing until it is opened.
+func (h *harness) serveLate() *lateListener {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(h.t, err)
+	late := &lateListener{Listener: l, opened: make(chan struct{})}
+	s := &httptest.Server{Listener: late, Config: &http.Server{Handler: h.proxy, ConnContext: caller.ConnContext}}
+	s.Start()
+	h.t.Cleanup(s.Close)
+	return late
+}
