Send events of streams together while processor time is short

While a router uses half of its processor time or more, it holds events after the first for at most 0.6 of the time within which they should reach their callers (new setting `lag`; `share` is the processor time that the router has), and all its streams go on at the same moment. Without `lag` nothing is held.

--- a/internal/conf/process.go
+++ b/internal/conf/process.go
@@ -36,6 +36,11 @@
 	First bool
 	Log   string
 	Cores int
+	// Share is the processor time of the process, in cores.
+	Share float64
+	// Lag is the time within which an event of a stream should reach its caller, or 0 if
+	// each must be forwarded as it arrives.
+	Lag time.Duration
 	// Memory is the most memory of the process, in bytes, or 0.
 	Memory int64
 	// Losses is the number of control daemons that may be lost at the same time.
@@ -58,6 +63,7 @@
 	defaultSpan  = 10 * time.Second
 	mostSlack    = 1e6
 	mostCores    = 256
+	leastShare   = 0.001
 	mostMemory   = 1 << 20 // megabytes
 
 	defaultLosses = 1
@@ -74,6 +80,8 @@
 	"first":   flag(),
 	"log":     oneOf("debug", "info", "warn", "error"),
 	"cores":   whole(1, mostCores),
+	"share":   number(leastShare, 1),
+	"lag":     span(0, time.Minute),
 	"memory":  number(0, mostMemory),
 	"losses":  whole(0, mostLosses),
 	"beat":    span(time.Millisecond, time.Hour),
@@ -105,6 +113,7 @@
 		First:       root.kid("first").flag(false),
 		Log:         root.kid("log").string("info"),
 		Cores:       int(root.kid("cores").whole(1)),
+		Lag:         root.kid("lag").span(0),
 		Memory:      int64(root.kid("memory").number(0) * (1 << 20)),
 		Losses:      int(root.kid("losses").whole(defaultLosses)),
 		Beat:        root.kid("beat").span(defaultBeat),
@@ -113,6 +122,7 @@
 		RepeatSlack: repeats.kid("slack").number(0),
 		RepeatSpan:  repeats.kid("span").span(defaultSpan),
 	}
+	s.Share = float64(s.Cores) * root.kid("share").number(1)
 	s.Name = poplar.Daemon(c.need(root, "name", nil).string(""))
 	s.Domain = poplar.Domain(c.need(root, "domain", nil).string(""))
 	s.Role = c.need(root, "role", nil).string("")
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -94,7 +94,7 @@
 		RetryBudget: proxy.RetryBudget{
 			Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatSpan,
 		},
-		ParsePlan: parts.Read, Dialect: parts.Dialect, Log: p.log, Vars: p.vars,
+		EventLag: s.Lag, Share: s.Share, ParsePlan: parts.Read, Dialect: parts.Dialect, Log: p.log, Vars: p.vars,
 	}, p.pool)}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -61,6 +61,12 @@
 	Seeds       []string      // peer addresses of control daemons
 	RetryBudget RetryBudget
 	// ParsePlan parses a configuration document.
+	// EventLag is the time within which an event of a stream should reach its caller, 0
+	// if each must be forwarded as it arrives.
+	EventLag time.Duration
+	// Share is the processor time of the router, in cores. Events are held only while
+	// much of it is used.
+	Share float64
 	ParsePlan func(document []byte) (*plan.Plan, error)
 	Dialect   poplar.Dialect
 	Log       *log.Logger
@@ -79,6 +85,8 @@
 	suspects *suspects
 	paces    *paces
 
+	pulse    pulse
+	effort   *effort
 	view         atomic.Pointer[view]
 	viewMu       sync.Mutex                // invariant: held while view is replaced
 	lastContact  atomic.Pointer[time.Time] // last response of a control daemon that follows the log
@@ -129,6 +137,7 @@
 		paces:        newPaces(),
 		reportWake:   make(chan struct{}, 1),
 		drawWake:     make(chan struct{}, 1),
+		effort:       newEffort(s.Share, time.Now()),
 		drawDone:     make(chan struct{}),
 		retryWindows: map[poplar.Service]*retry.Window{},
 		lenders:      map[string]lender{},
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -26,6 +26,12 @@
 	"poplarbend.example/poplar/pkg/wallet"
 )
 
+// The stream of the action slow.
+const (
+	slowEvents = 20
+	slowGap    = 10 * time.Millisecond
+)
+
 // testTimeout limits the time that a test waits for an event.
 const testTimeout = 10 * time.Second
 
@@ -157,6 +163,7 @@
 //   - stream N: the events up to N of 6; the response breaks off after event N,
 //     or is complete if N is 6
 //   - resumed ACTION: stream 3, and the action for a request that resumes it
+//   - slow: a complete stream of slowEvents events, slowGap apart
 //   - bare N: the same without a length or chunks; the connection is not reset
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
@@ -213,6 +220,12 @@
 		}
 	case "stream":
 		u.stream(w, r, arg)
+	case "slow":
+		for i := range slowEvents {
+			fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i+1, i+1)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(slowGap)
+		}
 	case "bare":
 		u.bare(w, r, arg)
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -33,7 +33,9 @@
 // so that the stream can be resumed after any of them.
 func (a *attempt) stream(resp *http.Response) result {
 	x := a.x
-	reader := bufio.NewReaderSize(resp.Body, eventBufferSize)
+	reader := eventReaders.Get().(*bufio.Reader)
+	reader.Reset(resp.Body)
+	defer releaseEventReader(reader)
 	control := http.NewResponseController(x.w)
 	resumed, first := x.headerWritten, true
 	var event []byte
@@ -80,10 +82,31 @@
 				a.err = err
 				return resultEnded
 			}
+			x.holdEvents()
 		}
 	}
 }
 
+// holdPart is the part of the time within which an event should reach its caller for
+// which the router may hold it.
+const holdPart = 0.6
+
+// holdEvents waits before the next event is read, while the router uses much of its
+// processor time. What arrives meanwhile is forwarded with one read and one write.
+func (x *exchange) holdEvents() {
+	if lag := x.p.settings.EventLag; lag > 0 && x.p.effort.high(time.Now()) {
+		x.p.pulse.wait(x.ctx, time.Duration(holdPart*float64(lag)))
+	}
+}
+
+// eventReaders holds the buffers of streams that have ended.
+var eventReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, eventBufferSize) }}
+
+func releaseEventReader(r *bufio.Reader) {
+	r.Reset(nil)
+	eventReaders.Put(r)
+}
+
 // continues reports whether data of a resumed stream, the first of it or not, may follow
 // the events that were delivered. Something else than the rest of the stream, such as the
 // text of an error with a status of success, has no event id or ends inside an event.
