Stop the storm of connections at an overloaded router

Cause: frontend-lagos-lekki-4 gets 300 requests a second of 2.8 KB each, which nearly fill its link both ways, so a connection to an upstream takes 140 to 330 ms. When upstreams went dark at 0.7 s, connections began to pass the limit of 350 ms.

What is slow at most upstreams is the router's own doing. So: - a connection may take three times as long as three in five did lately, up to 1.5 s, and such a time-out does not count against the upstream; - a request gives up after four upstreams to which it got no connection; - a router whose connections mostly take 100 ms or more reports for six seconds that it is not ready, and closes the connections of callers that it has answered, so that they go to others.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -22,8 +22,8 @@
 
 // Timeouts and limits of attempts.
 const (
-	// connectTimeout limits the set-up of a connection. TCP retransmits a lost
-	// packet only after one second.
+	// connectTimeout limits the set-up of a connection, unless most take long, see
+	// dialTimes. TCP retransmits a lost packet only after one second.
 	connectTimeout = 350 * time.Millisecond
 	// maxConnIdle is the maximum idle time of a connection that carries a
 	// request which must not be retried.
@@ -52,6 +52,9 @@
 	// maxRefusals is the number of refusals by upstreams after which a request
 	// fails.
 	maxRefusals = 3
+	// maxUnreached is the number of upstreams to which no connection could be made
+	// after which a request fails.
+	maxUnreached = 4
 )
 
 // result is the outcome of an attempt.
@@ -98,6 +101,9 @@
 		case resultEnded:
 			return x.expired()
 		case resultNotSent:
+			if x.unreached >= maxUnreached && !x.headerWritten {
+				return x.exhausted("no connection to an upstream")
+			}
 		case resultRefused:
 			if refusals++; refusals >= maxRefusals {
 				return x.exhausted("too many upstreams refused the request")
@@ -221,11 +227,15 @@
 	if !x.p.pacer(x.p.view.Load(), now).take(u) {
 		return nil, resultNotSent // another request was faster
 	}
-	connectBy := now.Add(connectTimeout)
+	connectBy := now.Add(x.p.dials.timeout(now))
 	if connectBy.After(x.deadline) {
 		connectBy = x.deadline
 	}
 	conn, err := x.p.conns.Get(x.ctx, u.address, connectBy, x.connUsedSince(now))
+	if conn == nil && x.ctx.Err() == nil || conn != nil && !conn.Reused() {
+		done := time.Now()
+		x.p.dials.note(done.Sub(now), done)
+	}
 	switch {
 	case err == nil && !conn.Reused() && x.over(time.Now()):
 		x.p.conns.Put(conn)
@@ -235,9 +245,12 @@
 	case x.ctx.Err() != nil:
 		return nil, resultEnded
 	}
-	u.connectFailed(time.Now())
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		x.p.reportCrash(u)
+	x.unreached++
+	if refused := errors.Is(err, syscall.ECONNREFUSED); refused || !x.p.dials.overloaded(time.Now()) {
+		u.connectFailed(time.Now())
+		if refused {
+			x.p.reportCrash(u)
+		}
 	}
 	x.p.log.Info("unreached", "id", x.env.ID, "upstream", string(u.name), "at", u.address, "error", err)
 	return nil, resultNotSent
--- /dev/null
+++ b/internal/proxy/dials.go
@@ -0,0 +1,88 @@
+package proxy
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// A connection that takes long to set up says something of its upstream. If most do, the
+// router's own link or processor is overloaded: giving them up and trying other upstreams
+// is then more work for the same end, so the router waits longer, and reports that it is
+// not ready, so that new callers are sent to other routers.
+
+const (
+	// dialSamples is the number of connections that are looked at, minDialSamples the
+	// least number that tells something, and dialMemory the age up to which they count.
+	dialSamples    = 15
+	minDialSamples = 8
+	dialMemory     = 3 * time.Second
+	// slowDial is the typical time to set up a connection from which the router counts
+	// as overloaded.
+	slowDial = 100 * time.Millisecond
+	// A connection may take connectTimeout, or dialPatience times the typical time if
+	// that is longer, up to maxConnectTimeout.
+	dialPatience      = 3
+	maxConnectTimeout = 1500 * time.Millisecond
+	// restTime is how long an overloaded router reports that it is not ready. Balancers
+	// ask once a second and take a router out after two failures, so a caller that is too
+	// much for one router is sent to three or four in turn.
+	restTime = 6 * time.Second
+)
+
+// dialTimes keeps how long it took to set up the latest connections to upstreams. It is
+// safe for concurrent use.
+type dialTimes struct {
+	mu      sync.Mutex
+	samples [dialSamples]dialSample // invariant: guarded by mu; a ring
+	next    int                     // invariant: guarded by mu; index of the oldest sample
+	restEnd time.Time               // invariant: guarded by mu; not ready until then
+}
+
+type dialSample struct {
+	took time.Duration
+	at   time.Time // zero if the sample is empty
+}
+
+// note records that setting up a connection took the given time, or was given up after
+// it.
+func (d *dialTimes) note(took time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.samples[d.next] = dialSample{took: took, at: now}
+	d.next = (d.next + 1) % dialSamples
+	if d.typical(now) >= slowDial {
+		d.restEnd = now.Add(restTime)
+	}
+}
+
+// typical returns the time that three in five of the recent connections took at least, or 0
+// if they are too few.
+// The caller holds the lock.
+func (d *dialTimes) typical(now time.Time) time.Duration {
+	times := make([]time.Duration, 0, dialSamples)
+	for _, s := range d.samples {
+		if !s.at.IsZero() && now.Sub(s.at) <= dialMemory {
+			times = append(times, s.took)
+		}
+	}
+	if len(times) < minDialSamples {
+		return 0
+	}
+	slices.Sort(times)
+	return times[len(times)*2/5]
+}
+
+// timeout returns the time that a new connection may take.
+func (d *dialTimes) timeout(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return min(max(connectTimeout, dialPatience*d.typical(now)), maxConnectTimeout)
+}
+
+// overloaded reports whether the router should get no new callers.
+func (d *dialTimes) overloaded(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.restEnd)
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -54,6 +54,7 @@
 	runs          int       // invariant: number of times that an upstream may have run it
 	retryTaken    bool      // invariant: true if the next retry is already counted
 	resumeBy      time.Time // invariant: end of the wait for a resume, or zero before the first wait
+	unreached     int       // invariant: number of upstreams to which no connection could be made
 	callerLeft    bool      // invariant: true once the caller was seen to have closed its connection
 	headerWritten bool      // invariant: true once the response header was written
 	firstByteAt   time.Time
@@ -264,12 +265,12 @@
 	x.headerWritten = false // the response is complete, so finish must not abort the connection
 }
 
-// writeHeader writes the response header. While the router drains, it also
-// closes the caller's connection after the response.
+// writeHeader writes the response header. While the router drains or is overloaded, it
+// also closes the caller's connection after the response.
 func (x *exchange) writeHeader(status int) {
 	x.headerWritten = true
 	x.status = status
-	if x.p.draining.Load() {
+	if x.p.draining.Load() || x.p.dials.overloaded(time.Now()) {
 		x.w.Header().Set("Connection", "close")
 	}
 	x.w.WriteHeader(status)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -66,7 +66,7 @@
 	EventLag time.Duration
 	// Share is the processor time of the router, in cores. Events are held only while
 	// much of it is used.
-	Share float64
+	Share     float64
 	ParsePlan func(document []byte) (*plan.Plan, error)
 	Dialect   poplar.Dialect
 	Log       *log.Logger
@@ -85,8 +85,9 @@
 	suspects *suspects
 	paces    *paces
 
-	pulse    pulse
-	effort   *effort
+	pulse        pulse
+	effort       *effort
+	dials        dialTimes
 	view         atomic.Pointer[view]
 	viewMu       sync.Mutex                // invariant: held while view is replaced
 	lastContact  atomic.Pointer[time.Time] // last response of a control daemon that follows the log
@@ -205,7 +206,7 @@
 // Ready reports whether callers should send requests to this router.
 func (p *Proxy) Ready() bool {
 	v := p.view.Load()
-	return !p.draining.Load() && v.table != nil && len(v.services) > 0
+	return !p.draining.Load() && v.table != nil && len(v.services) > 0 && !p.dials.overloaded(time.Now())
 }
 
 // WaitIdle waits until no request is in progress or ctx ends.
