--- a/internal/proxy/dials.go
+++ b/internal/proxy/dials.go
@@ -86,3 +86,11 @@
 	defer d.mu.Unlock()
 	return now.Before(d.restEnd)
 }
+
+// state returns whether the router is overloaded, and the typical time to set up a
+// connection.
+func (d *dialTimes) state(now time.Time) (overloaded bool, typical time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Before(d.restEnd), d.typical(now)
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -13,9 +13,14 @@
 	Revision  poplar.Revision `json:"revision"`
 	Upstreams map[string]int  `json:"upstreams"` // by state
 	Routers   int             `json:"routers"`
-	Fresh     bool            `json:"fresh"` // true if a control daemon that follows the log answered recently
-	Open      int64           `json:"open"`  // requests in progress
-	Ready     bool            `json:"ready"`
+	Fresh     bool            `json:"fresh"`   // true if a control daemon that follows the log answered recently
+	Open      int64           `json:"open"`    // requests in progress
+	Callers   int64           `json:"callers"` // connections of callers
+	// Overloaded is true while the router sends callers elsewhere, see dialTimes, and Busy
+	// while it uses much of its processor time.
+	Overloaded bool `json:"overloaded"`
+	Busy       bool `json:"busy"`
+	Ready      bool `json:"ready"`
 }
 
 // status returns the current status.
@@ -23,6 +28,7 @@
 	v := p.view.Load()
 	s := status{
 		Upstreams: map[string]int{}, Routers: len(v.routers), Fresh: p.fresh(time.Now()), Open: p.openRequests.Load(), Ready: p.Ready(),
+		Callers: p.callers.Load(), Overloaded: p.dials.overloaded(time.Now()), Busy: p.effort.busy.Load(),
 	}
 	if v.table != nil {
 		s.Revision = v.table.Plan().Revision
@@ -91,3 +97,14 @@
 		"loans_failed", now.loansFailed-last.loansFailed, "draws", now.draws-last.draws,
 		"draws_failed", now.drawsFailed-last.drawsFailed, "open", p.openRequests.Load())
 }
+
+// logOverload logs that the router has become overloaded or no longer is.
+func (p *Proxy) logOverload(now time.Time) {
+	overloaded, typical := p.dials.state(now)
+	if overloaded == p.loggedOverload {
+		return
+	}
+	p.loggedOverload = overloaded
+	p.log.Warn("overload", "overloaded", overloaded, "connect_ms", typical.Milliseconds(), "open", p.openRequests.Load(),
+		"callers", p.callers.Load(), "busy", p.effort.busy.Load())
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -108,6 +108,7 @@
 	drawMu          sync.Mutex
 	drawDone        chan struct{} // invariant: guarded by drawMu; closed at the next draw response
 	shortages       shortageLog   // invariant: used only by sweepLoop
+	loggedOverload  bool          // invariant: used only by sweepLoop; true if the log says that the router is overloaded
 
 	lenderMu   sync.Mutex
 	lenders    map[string]lender               // invariant: guarded by lenderMu; keyed by peer address
@@ -259,6 +260,7 @@
 // that accept no new requests, removes expired suspects, and logs shortages of tokens.
 func (p *Proxy) sweep(context.Context) {
 	p.logShortage()
+	p.logOverload(time.Now())
 	p.suspects.sweep(time.Now())
 	p.paces.sweep(time.Now())
 	accepting := map[string]bool{}
