Hold fewer tokens ready in large fleets

Cause: each of 295 routers holds the largest recent request of a workspace ready, and idle tokens for requests that do not come. The class: a stock for each member of a fleet where the demand is that of the whole.

Beyond fifty routers all of them together now hold as much ready as fifty, and the rest in reserve. Fleets of nine routers are as before.

--- a/pkg/wallet/draw.go
+++ b/pkg/wallet/draw.go
@@ -109,20 +109,22 @@
 
 // targets returns how many tokens the router should hold ready and in reserve.
 func (b *balance) targets(grant poplar.Tokens, policy Policy, routers int) (ready, reserve poplar.Tokens) {
-	idleTokens, largestFraction := 0.0, 1.0
+	idleTokens, largestFraction, part := 0.0, 1.0, 1.0
 	if b.hasStatus && grant > 0 {
 		freeFraction := min(1, max(0, float64(b.status.Free)/float64(grant)))
 		largestFraction = minLargestFraction + (1-minLargestFraction)*freeFraction
 		if routers > 0 {
+			part = min(1, readyRouters/float64(routers))
 			idleTokens = policy.IdleFraction * freeFraction * float64(grant) / float64(routers)
 		}
 	}
-	idleReady := idleTokens * idleReadyFraction
+	idleReady := idleTokens * idleReadyFraction * part
 	if b.largestEver > 0 {
 		idleReady = min(idleReady, maxIdleReadyRequests*b.largestEver)
 	}
-	readyTarget := max(b.demandRate*policy.ReadyTime.Seconds()*policy.BurstFactor+largestFraction*b.recentLargest, idleReady)
-	reserveTarget := max(b.demandRate*UnlockTime.Seconds()*policy.BurstFactor, idleTokens)
+	largest := largestFraction * b.recentLargest
+	readyTarget := max(b.demandRate*policy.ReadyTime.Seconds()*policy.BurstFactor+part*largest, idleReady)
+	reserveTarget := max(b.demandRate*UnlockTime.Seconds()*policy.BurstFactor+(1-part)*largest, idleTokens)
 	if supply := b.supply(grant); supply < 1 {
 		// Idle tokens here are needed by other routers.
 		readyTarget = b.demandRate * policy.ReadyTime.Seconds() * max(supply, minHoldingFraction)
--- a/pkg/wallet/wallet.go
+++ b/pkg/wallet/wallet.go
@@ -39,6 +39,11 @@
 	// idleReadyFraction is the ratio of ready tokens to reserve in the holdings of a
 	// router without demand.
 	idleReadyFraction = 0.3
+	// readyRouters is the number of routers up to which each of them holds tokens ready
+	// for the largest recent request, and without demand. Of a larger fleet all routers
+	// together hold as many as that: what they hold ready is lost with them, and the
+	// requests are the same.
+	readyRouters = 50
 	// maxIdleReadyRequests limits the ready tokens of a router without demand to
 	// this many requests of the largest size seen. More would be lost with the
 	// router and serve no one.
