--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,7 +131,7 @@
 		c.box.Close()
 		return nil, err
 	}
-	c.loops.Start(c.loop, c.loopOpen, c.loopAnnounce, c.loopDivisions)
+	c.loops.Start(c.loop, c.loopOpen, c.loopAnnounce, c.loopBreakdowns)
 	return c, nil
 }
 
--- a/internal/edge/cut_head_test.go
+++ b/internal/edge/cut_head_test.go
@@ -70,7 +70,7 @@
 	defer resp.Body.Close()
 	if head, err := httputil.DumpResponse(resp, false); err == nil {
 		c.cutter.head.Store(int64(len(head)))
-		_, _ = c.conn.Write(head[:min(c.cutter.keep, len(head)-1)]) // the caller's side of the test fails if this does
+		_, _ = c.conn.Write(head[:min(c.cutter.keep, len(head)-1)])
 	}
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -7,11 +7,9 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"syscall"
 	"time"
 
 	"poplarbend.example/poplar"
-	"poplarbend.example/poplar/internal/caller"
 	"poplarbend.example/poplar/internal/conns"
 	"poplarbend.example/poplar/pkg/place"
 	"poplarbend.example/poplar/pkg/plan"
@@ -22,12 +20,6 @@
 
 // Timeouts and limits of attempts.
 const (
-	// connectTimeout limits the set-up of a connection, unless most take long, see
-	// dialTimes. TCP retransmits a lost packet only after one second.
-	connectTimeout = 350 * time.Millisecond
-	// maxConnIdle is the maximum idle time of a connection that carries a
-	// request which must not be retried.
-	maxConnIdle = 3 * time.Second
 	// A safe request without a complete response is sent to another upstream
 	// after safeTimeoutFactor times the first-byte target of its route, at
 	// least minSafeTimeout.
@@ -218,44 +210,6 @@
 	return group[indexes[n]], candidates[n].Suspect
 }
 
-// connect returns a connection to u on which the request may be sent now, or the outcome
-// of an attempt without one.
-func (x *exchange) connect(u *upstream, now time.Time) (*conns.Conn, result) {
-	if x.over(now) {
-		return nil, resultEnded
-	}
-	if !x.p.pacer(x.p.view.Load(), now).take(u) {
-		return nil, resultNotSent // another request was faster
-	}
-	connectBy := now.Add(x.p.dials.timeout(now))
-	if connectBy.After(x.deadline) {
-		connectBy = x.deadline
-	}
-	conn, err := x.p.conns.Get(x.ctx, u.address, connectBy, x.connUsedSince(now))
-	if conn == nil && x.ctx.Err() == nil || conn != nil && !conn.Reused() {
-		done := time.Now()
-		x.p.dials.note(done.Sub(now), done)
-	}
-	switch {
-	case err == nil && !conn.Reused() && x.over(time.Now()):
-		x.p.conns.Put(conn)
-		return nil, resultEnded
-	case err == nil:
-		return conn, resultDone
-	case x.ctx.Err() != nil:
-		return nil, resultEnded
-	}
-	x.unreached++
-	if refused := errors.Is(err, syscall.ECONNREFUSED); refused || !x.p.dials.overloaded(time.Now()) {
-		u.connectFailed(time.Now())
-		if refused {
-			x.p.reportCrash(u)
-		}
-	}
-	x.p.log.Info("unreached", "id", x.env.ID, "upstream", string(u.name), "at", u.address, "error", err)
-	return nil, resultNotSent
-}
-
 // try makes one attempt at u.
 func (x *exchange) try(u *upstream) result {
 	now := time.Now()
@@ -302,27 +256,6 @@
 	return outcome
 }
 
-// over reports whether nobody waits for the request any more. It is asked before each
-// send and does not rely on the context, which ends late while processor time is short.
-func (x *exchange) over(now time.Time) bool {
-	x.callerLeft = x.callerLeft || caller.Left(x.r.Context())
-	return x.callerLeft || !now.Before(x.deadline)
-}
-
-// connUsedSince returns the time since which an idle connection must have been
-// used to carry the request. The zero time allows any connection. A retry needs
-// a new connection: the failure of the first attempt may have affected idle
-// connections as well, and few attempts are left.
-func (x *exchange) connUsedSince(now time.Time) time.Time {
-	switch {
-	case x.sends > 0:
-		return now
-	case !x.route.Kind.Repeatable():
-		return now.Add(-maxConnIdle)
-	}
-	return time.Time{}
-}
-
 var resultNames = [...]string{"done", "unsent", "refused", "broken", "failed", "ended"}
 
 // cachedTokens estimates how many tokens of the prompt are cached at u.
--- a/internal/proxy/effort.go
+++ b/internal/proxy/cpu.go
@@ -8,18 +8,21 @@
 	"golang.org/x/sys/unix"
 )
 
+// A router that uses much of its processor time saves some of it at the cost of latency,
+// see holdEvents.
+
 const (
-	// effortPeriod is the time over which processor time is measured.
-	effortPeriod = 200 * time.Millisecond
-	// Events are held once the router uses busyPart of its processor time, until it uses
-	// less than calmPart. Holding them lowers the use, so calmPart is well below.
-	busyPart = 0.5
-	calmPart = 0.2
+	// cpuPeriod is the time over which processor time is measured.
+	cpuPeriod = 200 * time.Millisecond
+	// Events are held once the router uses highPart of its processor time, until it uses
+	// less than lowPart. Holding them lowers the use, so lowPart is well below.
+	highPart = 0.5
+	lowPart  = 0.2
 )
 
-// effort measures which part of its processor time the process uses. It is safe for
+// cpuMeter measures which part of its processor time the process uses. It is safe for
 // concurrent use.
-type effort struct {
+type cpuMeter struct {
 	share float64 // invariant: processor time that the process has, in cores
 	busy  atomic.Bool
 	due   atomic.Int64 // time of the next measurement, in nanoseconds since start
@@ -30,34 +33,34 @@
 	used time.Duration // invariant: guarded by mu; processor time used until then
 }
 
-func newEffort(share float64, now time.Time) *effort {
-	return &effort{share: share, start: now, at: now, used: processorTime()}
+func newCPUMeter(share float64, now time.Time) *cpuMeter {
+	return &cpuMeter{share: share, start: now, at: now, used: processorTime()}
 }
 
 // high reports whether the process uses much of its processor time. It measures at most
-// once in effortPeriod.
-func (e *effort) high(now time.Time) bool {
+// once in cpuPeriod.
+func (e *cpuMeter) high(now time.Time) bool {
 	since := int64(now.Sub(e.start))
-	if due := e.due.Load(); since >= due && e.due.CompareAndSwap(due, since+int64(effortPeriod)) {
+	if due := e.due.Load(); since >= due && e.due.CompareAndSwap(due, since+int64(cpuPeriod)) {
 		e.measure(now, processorTime())
 	}
 	return e.busy.Load()
 }
 
 // measure takes the processor time used until now.
-func (e *effort) measure(now time.Time, used time.Duration) {
+func (e *cpuMeter) measure(now time.Time, used time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	passed := now.Sub(e.at)
-	if passed < effortPeriod/2 {
+	if passed < cpuPeriod/2 {
 		return
 	}
 	part := float64(used-e.used) / float64(passed) / e.share
 	e.at, e.used = now, used
 	switch {
-	case part >= busyPart:
+	case part >= highPart:
 		e.busy.Store(true)
-	case part < calmPart:
+	case part < lowPart:
 		e.busy.Store(false)
 	}
 }
--- a/internal/proxy/dials.go
+++ b/internal/proxy/dials.go
@@ -24,19 +24,19 @@
 	// that is longer, up to maxConnectTimeout.
 	dialPatience      = 3
 	maxConnectTimeout = 1500 * time.Millisecond
-	// restTime is how long an overloaded router reports that it is not ready. Balancers
+	// unreadyTime is how long an overloaded router reports that it is not ready. Balancers
 	// ask once a second and take a router out after two failures, so a caller that is too
 	// much for one router is sent to three or four in turn.
-	restTime = 6 * time.Second
+	unreadyTime = 6 * time.Second
 )
 
 // dialTimes keeps how long it took to set up the latest connections to upstreams. It is
 // safe for concurrent use.
 type dialTimes struct {
-	mu      sync.Mutex
-	samples [dialSamples]dialSample // invariant: guarded by mu; a ring
-	next    int                     // invariant: guarded by mu; index of the oldest sample
-	restEnd time.Time               // invariant: guarded by mu; not ready until then
+	mu           sync.Mutex
+	samples      [dialSamples]dialSample // invariant: guarded by mu; a ring
+	next         int                     // invariant: guarded by mu; index of the oldest sample
+	unreadyUntil time.Time               // invariant: guarded by mu; not ready until then
 }
 
 type dialSample struct {
@@ -52,13 +52,12 @@
 	d.samples[d.next] = dialSample{took: took, at: now}
 	d.next = (d.next + 1) % dialSamples
 	if d.typical(now) >= slowDial {
-		d.restEnd = now.Add(restTime)
+		d.unreadyUntil = now.Add(unreadyTime)
 	}
 }
 
 // typical returns the time that three in five of the recent connections took at least, or 0
-// if they are too few.
-// The caller holds the lock.
+// if they are too few. The caller holds the lock.
 func (d *dialTimes) typical(now time.Time) time.Duration {
 	times := make([]time.Duration, 0, dialSamples)
 	for _, s := range d.samples {
@@ -84,7 +83,7 @@
 func (d *dialTimes) overloaded(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return now.Before(d.restEnd)
+	return now.Before(d.unreadyUntil)
 }
 
 // state returns whether the router is overloaded, and the typical time to set up a
@@ -92,5 +91,5 @@
 func (d *dialTimes) state(now time.Time) (overloaded bool, typical time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return now.Before(d.restEnd), d.typical(now)
+	return now.Before(d.unreadyUntil), d.typical(now)
 }
--- a/internal/proxy/dials_test.go
+++ b/internal/proxy/dials_test.go
@@ -36,7 +36,7 @@
 	assert.Equal(t, d.timeout(now), dialPatience*300*time.Millisecond)
 	d.note(time.Minute, now)
 	assert.Assert(t, d.timeout(now) <= maxConnectTimeout)
-	now = now.Add(restTime)
+	now = now.Add(unreadyTime)
 	assert.Assert(t, !d.overloaded(now))
 	assert.Equal(t, d.timeout(now), connectTimeout)
 }
--- a/internal/proxy/hold_test.go
+++ b/internal/proxy/hold_test.go
@@ -94,8 +94,8 @@
 	for _, busy := range []bool{false, true} {
 		h := newHarness(t, script{"a": {"slow"}})
 		h.proxy.settings.EventLag = 200 * time.Millisecond
-		h.proxy.effort.due.Store(int64(time.Hour)) // no measurement replaces the state
-		h.proxy.effort.busy.Store(busy)
+		h.proxy.cpu.due.Store(int64(time.Hour)) // no measurement replaces the state
+		h.proxy.cpu.busy.Store(busy)
 		counted := h.serveCounted()
 		s := &streamReader{address: counted.Addr().String()}
 		for range streams {
@@ -115,16 +115,16 @@
 
 // TestHeldStreamEndsWithItsCaller cancels a stream whose next event is held.
 func TestHeldStreamEndsWithItsCaller(t *testing.T) {
-	var p pulse
+	var b batchTimer
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	p.wait(ctx, time.Hour)
+	b.wait(ctx, time.Hour)
 }
 
-// TestEffortFollowsProcessorTime measures a process that has a fifth of a core.
-func TestEffortFollowsProcessorTime(t *testing.T) {
+// TestCPUMeterFollowsProcessorTime measures a process that has a fifth of a core.
+func TestCPUMeterFollowsProcessorTime(t *testing.T) {
 	now := time.Now()
-	e := newEffort(0.2, now)
+	e := newCPUMeter(0.2, now)
 	used := e.used
 	for _, step := range []struct {
 		used time.Duration // in the next second
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -28,7 +28,7 @@
 	v := p.view.Load()
 	s := status{
 		Upstreams: map[string]int{}, Routers: len(v.routers), Fresh: p.fresh(time.Now()), Open: p.openRequests.Load(), Ready: p.Ready(),
-		Callers: p.callers.Load(), Overloaded: p.dials.overloaded(time.Now()), Busy: p.effort.busy.Load(),
+		Callers: p.callers.Load(), Overloaded: p.dials.overloaded(time.Now()), Busy: p.cpu.busy.Load(),
 	}
 	if v.table != nil {
 		s.Revision = v.table.Plan().Revision
@@ -106,5 +106,5 @@
 	}
 	p.loggedOverload = overloaded
 	p.log.Warn("overload", "overloaded", overloaded, "connect_ms", typical.Milliseconds(), "open", p.openRequests.Load(),
-		"callers", p.callers.Load(), "busy", p.effort.busy.Load())
+		"callers", p.callers.Load(), "busy", p.cpu.busy.Load())
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -88,8 +88,8 @@
 	metrics  metrics
 	suspects *suspects
 	paces    *paces
-	pulse    pulse
-	effort   *effort
+	batches  batchTimer
+	cpu      *cpuMeter
 	dials    dialTimes
 
 	view         atomic.Pointer[view]
@@ -142,7 +142,7 @@
 		metrics:      newMetrics(s.Vars),
 		suspects:     newSuspects(rand.Float64()),
 		paces:        newPaces(),
-		effort:       newEffort(s.Share, time.Now()),
+		cpu:          newCPUMeter(s.Share, time.Now()),
 		reportWake:   make(chan struct{}, 1),
 		drawWake:     make(chan struct{}, 1),
 		drawDone:     make(chan struct{}),
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -94,8 +94,8 @@
 // holdEvents waits before the next event is read, while the router uses much of its
 // processor time. What arrives meanwhile is forwarded with one read and one write.
 func (x *exchange) holdEvents() {
-	if lag := x.p.settings.EventLag; lag > 0 && x.p.effort.high(time.Now()) {
-		x.p.pulse.wait(x.ctx, time.Duration(holdPart*float64(lag)))
+	if lag := x.p.settings.EventLag; lag > 0 && x.p.cpu.high(time.Now()) {
+		x.p.batches.wait(x.ctx, time.Duration(holdPart*float64(lag)))
 	}
 }
 
--- a/pkg/wallet/load_test.go
+++ b/pkg/wallet/load_test.go
@@ -383,7 +383,7 @@
 				total.add(s.total)
 				large.add(s.large)
 				urgent.add(s.urgent)
-				d := s.budgets.Divisions()[0]
+				d := s.budgets.Breakdowns()[0]
 				lost += float64(d.WrittenOff) / float64(d.Grant)
 			}
 			t.Logf("lost %.4f of the grant", lost/float64(sc.seeds()))
