--- a/internal/edge/harness_test.go
+++ b/internal/edge/harness_test.go
@@ -109,7 +109,7 @@
 	}()
 	go func() {
 		defer loops.Done()
-		h.renewAnnouncements(ctx)
+		h.renewAnnouncements(ctx, t)
 	}()
 	t.Cleanup(func() {
 		stop()
@@ -159,8 +159,9 @@
 	h.announced[n.Upstream] = next
 }
 
-// renewAnnouncements renews all announcements until ctx is done.
-func (h *harness) renewAnnouncements(ctx context.Context) {
+// renewAnnouncements renews all announcements until ctx is done. Cases of a test replace
+// h.t meanwhile.
+func (h *harness) renewAnnouncements(ctx context.Context, t *testing.T) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -170,7 +171,7 @@
 		h.mu.Lock()
 		for _, next := range h.announced {
 			_, err := h.announcements.Announce(next())
-			assert.Check(h.t, err)
+			assert.Check(t, err)
 		}
 		h.mu.Unlock()
 	}
