Give the requests of a case the shared parts of a deployment

Cause: the case of the foreign heartbeat sent prompts that share no parts, which the deployments' requests do.

--- a/review/rig/foreign.go
+++ b/review/rig/foreign.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -59,7 +60,8 @@
 		engines   = 6
 		period    = 60 * time.Millisecond
 		length    = 60 * time.Second
-		allowance = 5 // wrong refusals, and one in allowedOf
+		things    = 40 // shared first parts of prompts
+		allowance = 5  // wrong refusals, and one in allowedOf
 		allowedOf = 500
 	)
 	if _, err := r.startFleet(3, 3, engines, configuration(1, poisonKey, plenty)); err != nil {
@@ -75,8 +77,11 @@
 	c := newClients(r.record, r.fleet, poisonKey)
 	begin := time.Now()
 	end := begin.Add(length)
+	number := 0
 	each(period, end, func() {
-		c.send(request{kind: "ask", path: "/ask/1", parts: "OWN:826", prompt: 826, output: 96})
+		number++
+		parts := fmt.Sprintf("%08x:198,OWN:628", 0x5c1e0000+number%things)
+		c.send(request{kind: "ask", path: "/ask/1", parts: parts, prompt: 826, output: 96})
 	})
 	c.wait.Wait()
 	list := c.list("ask", begin, end)
