--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -45,7 +44,7 @@
 
 func play() int {
 	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		return exitNotRun
 	}
 	begin, known := cases[os.Args[1]]
@@ -53,7 +52,7 @@
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", os.Args[1])
 		return exitNotRun
 	}
-	rec, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	rec, err := newRecord(os.Args[2])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
