--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -63,11 +63,12 @@
 }
 
 func (s *engineSet) add(index int) (*engine, error) {
-	port, err := freePort()
+	ip := fmt.Sprintf("127.0.3.%d", index+1)
+	free, err := freePorts(ip, 1)
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{set: s, index: index, address: fmt.Sprintf("127.0.3.%d:%d", index+1, port), stop: make(chan struct{}), control: index}
+	e := &engine{set: s, index: index, address: fmt.Sprintf("%s:%d", ip, free[0]), stop: make(chan struct{}), control: index}
 	if err := e.up(); err != nil {
 		return nil, err
 	}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -58,22 +58,26 @@
 	for i := range routers {
 		f.routers = append(f.routers, &machine{fleet: f, name: fmt.Sprintf("frontend-%d", i+1), ip: fmt.Sprintf("127.%d.2.%d", subnet, i+1), router: true})
 	}
-	for _, p := range []*int{&f.ports.callers, &f.ports.ready, &f.ports.control, &f.ports.peers, &f.ports.metrics} {
-		if *p, err = freePort(); err != nil {
-			return nil, err
-		}
+	free, err := freePorts(fmt.Sprintf("127.%d.1.1", subnet), 5)
+	if err != nil {
+		return nil, err
 	}
+	f.ports = ports{callers: free[0], ready: free[1], control: free[2], peers: free[3], metrics: free[4]}
 	return f, nil
 }
 
-// freePort returns a port that is free on all loopback addresses now.
-func freePort() (int, error) {
-	l, err := net.Listen("tcp4", "0.0.0.0:0")
-	if err != nil {
-		return 0, err
+// freePorts returns different ports that are free on an address now.
+func freePorts(ip string, count int) ([]int, error) {
+	var list []int
+	for range count {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // all stay open until the last is chosen
+		list = append(list, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return list, nil
 }
 
 func (m *machine) at(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
@@ -141,6 +145,17 @@
 	return nil
 }
 
+// logTail is how much of a log is noted, in bytes.
+const logTail = 1500
+
+// noteLogs notes the ends of the logs of the control daemons.
+func (f *fleet) noteLogs() {
+	for _, m := range f.cores {
+		data, err := os.ReadFile(filepath.Join(f.folder, m.name+".log"))
+		f.record.note("log", "%s: %s (%v)", m.name, data[max(0, len(data)-logTail):], err)
+	}
+}
+
 // end ends all processes and removes the folder.
 func (f *fleet) end() {
 	for _, m := range append(append([]*machine{}, f.cores...), f.routers...) {
@@ -179,6 +194,7 @@
 		return false
 	}
 	end := time.Now().Add(limit)
+	last := map[*machine]int{}
 	for i := 0; time.Now().Before(end); i++ {
 		m := f.cores[i%len(f.cores)]
 		status := m.post("/api/Config.Replace", body)
@@ -186,8 +202,9 @@
 			f.record.note("operator", "version %v acknowledged by %s", config["version"], m.name)
 			return true
 		}
-		if i < 3 {
+		if before, known := last[m]; !known || before != status {
 			f.record.note("operator", "version %v at %s: status %d", config["version"], m.name, status)
+			last[m] = status
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -67,6 +67,9 @@
 	switch {
 	case err != nil:
 		rec.say("not run: %v", err)
+		if r.fleet != nil {
+			r.fleet.noteLogs()
+		}
 		return exitNotRun
 	case broken:
 		rec.say("the rule was broken")
