Treat a stream that ends inside an event as broken

Callers saw status 200 and an answer that was complete by HTTP but lacked its last events; a stream that may be resumed was not.

Cause: attempt.stream took the end of the body for the end of the stream, and looked for the part of an event only where the body had neither a length nor chunks. An upstream may stop inside an event and end its body properly all the same.

Change: data after the last whole event, other than whole comment lines, means that the stream has broken off, in any framing, in first and resumed runs, and also before anything was delivered. The part of the event is not handed on. The usual rules follow: resumed after the last whole event, run again, or aborted.

Ruled out: the reader of chunks. It reports a body without its last chunk as an error, and the router treated that as broken before.

--- a/internal/conns/call.go
+++ b/internal/conns/call.go
@@ -169,16 +169,16 @@
 	default:
 		whole = false
 	}
-	if !alive || !whole || k.resp == nil || k.resp.Close || Unbounded(k.resp) || k.conn.reader.Buffered() > 0 {
+	if !alive || !whole || k.resp == nil || k.resp.Close || unbounded(k.resp) || k.conn.reader.Buffered() > 0 {
 		k.conn.Close()
 		return
 	}
 	k.pool.put(k.conn, keepAlive(k.resp.Header))
 }
 
-// Unbounded reports whether the answer has neither a length nor chunks, and ends with
+// unbounded reports whether the answer has neither a length nor chunks, and ends with
 // its connection.
-func Unbounded(resp *http.Response) bool {
+func unbounded(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -165,11 +165,17 @@
 //   - resumed ACTION: stream 3, and the action for a request that resumes it
 //   - slow: a complete stream of slowEvents events, slowGap apart
 //   - bare N: the same without a length or chunks; the connection is not reset
+//   - cut FRAMING N: the events up to N and a part of the next one; the body ends
+//     there as its framing says: length, chunks, or bare
+//   - once ACTION: the action for the first request that arrives at any upstream,
+//     and stream 6 for the others
+//   - comment: a complete stream with a comment after its last event
 func (u *fakeUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	u.harness.mu.Lock()
 	u.harness.remoteAddrs = append(u.harness.remoteAddrs, r.RemoteAddr)
 	u.harness.arrived = append(u.harness.arrived, strings.TrimSpace(u.name+" "+r.Header.Get("After")))
+	isFirst := len(u.harness.arrived) == 1
 	u.harness.mu.Unlock()
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Seal", u.name)
@@ -179,6 +185,11 @@
 	} else if action == "resumed" {
 		action, arg, _ = strings.Cut(arg, " ")
 	}
+	if action == "once" && isFirst {
+		action, arg, _ = strings.Cut(arg, " ")
+	} else if action == "once" {
+		action, arg = "stream", "6"
+	}
 	switch action {
 	case "ok":
 		fmt.Fprintf(w, "%s %s %s", u.name, r.Header.Get("Workspace"), body)
@@ -228,7 +239,39 @@
 		}
 	case "bare":
 		u.bare(w, r, arg)
+	case "cut":
+		u.cut(w, r, arg)
+	case "comment":
+		fmt.Fprint(w, "id: 1\ndata: 1\n\n: end\n")
+	}
+}
+
+// cut sends the events after the resume position up to the number in arg and a part of
+// the next one, and ends the body as the framing in arg says.
+func (u *fakeUpstream) cut(w http.ResponseWriter, r *http.Request, arg string) {
+	framing, number, _ := strings.Cut(arg, " ")
+	end, _ := strconv.Atoi(number)
+	last, _ := strconv.Atoi(r.Header.Get("After"))
+	var body strings.Builder
+	for i := last + 1; i <= end; i++ {
+		fmt.Fprintf(&body, "id: %d\ndata: %d\n\n", i, i)
 	}
+	fmt.Fprintf(&body, "id: %d\nda", end+1)
+	w.Header().Set("Content-Type", "text/event-stream")
+	switch framing {
+	case "length":
+		w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
+	case "chunks":
+		_ = http.NewResponseController(w).Flush()
+	case "bare":
+		conn, out, err := http.NewResponseController(w).Hijack()
+		assert.NilError(u.harness.t, err)
+		defer conn.Close()
+		fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: %s\r\n\r\n%s", r.Header.Get("Id"), u.name, body.String())
+		out.Flush()
+		return
+	}
+	fmt.Fprint(w, body.String())
 }
 
 // bare sends a stream that has neither a length nor chunks and ends with its
@@ -299,8 +342,17 @@
 // TestResponses reads testdata/answers.txt: for each kind of request and each
 // behaviour of two upstreams, it lists the expected response and the number of
 // requests that arrive.
-func TestResponses(t *testing.T) {
-	file, err := os.Open("testdata/answers.txt")
+func TestResponses(t *testing.T) { checkResponses(t, "testdata/answers.txt") }
+
+// TestCutEventDoesNotEndStream guards against streams that look complete to the caller
+// although they end inside an event, in any framing. It reads testdata/cut_events.txt.
+func TestCutEventDoesNotEndStream(t *testing.T) { checkResponses(t, "testdata/cut_events.txt") }
+
+// checkResponses plays the lines of a file: kind of request, behaviour of two upstreams,
+// expected status and number of arrivals, and the expected body if there is one.
+func checkResponses(t *testing.T, name string) {
+	t.Helper()
+	file, err := os.Open(name)
 	assert.NilError(t, err)
 	defer file.Close()
 	lines := bufio.NewScanner(file)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"poplarbend.example/poplar/internal/conns"
 	"poplarbend.example/poplar/pkg/plan"
 )
 
@@ -43,24 +42,21 @@
 		var err error
 		event, err = readEvent(reader, event[:0])
 		a.stall.reset()
-		if resumed && len(event) > 0 && !continues(event, first, err) {
+		eof := errors.Is(err, io.EOF)
+		switch {
+		case eof && insideEvent(event):
+			eof, err = false, errCutEvent
+		case err == nil && resumed && first && !hasEventID(event):
 			err = errNoContinuation
-		}
-		first = false
-		if err == nil && !x.acceptEvent(event) {
+		case err == nil && !x.acceptEvent(event):
 			err = errEventOrder
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		first = false
+		if err != nil && !eof {
 			a.err = err
 			return resultBroken
 		}
-		eof := err != nil
-		if eof && len(event) > 0 && conns.Unbounded(resp) {
-			// Nothing but the end of its last event shows that it is complete.
-			a.err = errCutEvent
-			return resultBroken
-		}
-		if eof && len(event) == 0 && a.gotFirstByte || eof && x.headerWritten {
+		if eof && x.headerWritten {
 			a.complete = true
 			x.w.Write(event)
 			return resultDone
@@ -107,15 +103,26 @@
 	eventReaders.Put(r)
 }
 
-// continues reports whether data of a resumed stream, the first of it or not, may follow
-// the events that were delivered. Something else than the rest of the stream, such as the
-// text of an error with a status of success, has no event id or ends inside an event.
-func continues(event []byte, first bool, err error) bool {
-	if err != nil {
-		return false
-	}
+// hasEventID reports whether an event has an id. The first event of a resumed stream must
+// have one: something else than the rest of the stream, such as the text of an error with
+// a status of success, has none.
+func hasEventID(event []byte) bool {
 	_, ok := eventID(event)
-	return ok || !first
+	return ok
+}
+
+// insideEvent reports whether a stream that ends with the given data, after its last whole
+// event, ends inside an event. Whole comment lines belong to no event. A length or a last
+// chunk does not make the event whole: an upstream may end its answer properly anywhere.
+func insideEvent(rest []byte) bool {
+	for len(rest) > 0 {
+		line, after, ended := bytes.Cut(rest, []byte{'\n'})
+		if !ended || line[0] != ':' {
+			return true
+		}
+		rest = after
+	}
+	return false
 }
 
 // eventBuffered reports whether another whole event is buffered, so that one
