Do not complete a stream that ends inside an event after its finish

Callers of internal/edge saw a whole stream, with usage that the router had computed, where the engine had stopped inside its usage event or inside the mark of the end.

Cause: with the event of the finish reason at hand, the relay dropped every error of the reader. The reader also reported some ends inside an event as a proper end: after a line without data, and inside a line longer than its buffer.

Change: the reader reports each end inside an event or line, and the relay takes it for a broken stream. A resumed hop sends the end of the response again, so what was held of it is dropped.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -75,6 +75,7 @@
 	if resume {
 		setResumeHeader(out.header, r.generated)
 	}
+	r.finalEvents = nil // the engine sends the end of the response again
 	h, err := a.open(out)
 	if err != nil {
 		return err
@@ -110,7 +111,7 @@
 	for {
 		event, err := events.next()
 		switch {
-		case err != nil && len(r.finalEvents) > 0:
+		case err != nil && len(r.finalEvents) > 0 && !errors.Is(err, errCutEvent):
 			return nil // the engine has already sent the end of the response
 		case errors.Is(err, io.EOF):
 			return errTruncated
--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -17,8 +17,21 @@
 // maxEventBytes bounds the size of one event.
 const maxEventBytes = 1 << 20
 
-// errEventTooLarge means that an event exceeds maxEventBytes.
-var errEventTooLarge = errors.New("an event is too large")
+var (
+	// errEventTooLarge means that an event exceeds maxEventBytes.
+	errEventTooLarge = errors.New("an event is too large")
+	// errCutEvent means that the stream ended inside an event.
+	errCutEvent = errors.New("the stream ended inside an event")
+)
+
+// cutEvent returns the error of a stream that ended inside an event with err. Inside an
+// event also a proper end is an unexpected one.
+func cutEvent(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("%w: %w", errCutEvent, err)
+}
 
 // sseEvent is one server-sent event.
 type sseEvent struct {
@@ -77,19 +90,19 @@
 }
 
 // next reads the next event with data. Comments and other fields are skipped.
-// At the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF inside an
-// event.
+// At the end of the stream it returns io.EOF, and errCutEvent inside an event.
 func (r *sseReader) next() (sseEvent, error) {
 	var event sseEvent
 	r.data = r.data[:0]
-	for {
+	for begun := false; ; {
 		line, err := r.readLine()
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(r.data) > 0 {
-				err = io.ErrUnexpectedEOF
+			if begun && !errors.Is(err, errCutEvent) && !errors.Is(err, errEventTooLarge) {
+				err = cutEvent(err)
 			}
 			return event, err
 		}
+		begun = len(line) > 0 && (begun || line[0] != ':')
 		switch {
 		case len(line) == 0:
 			if len(r.data) > 0 {
@@ -110,15 +123,16 @@
 	}
 }
 
-// readLine reads one line and strips the line ending.
+// readLine reads one line and strips the line ending. At the end of the stream it returns
+// errCutEvent inside a line.
 func (r *sseReader) readLine() ([]byte, error) {
 	line, err := r.in.ReadSlice('\n')
 	if err == nil {
 		return bytes.TrimRight(line, "\r\n"), nil
 	}
 	if !errors.Is(err, bufio.ErrBufferFull) {
-		if len(line) > 0 && errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
+		if len(line) > 0 {
+			err = cutEvent(err)
 		}
 		return nil, err
 	}
@@ -131,7 +145,7 @@
 		long = append(long, line...)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("read line: %w", err)
+		return nil, cutEvent(err)
 	}
 	return bytes.TrimRight(long, "\r\n"), nil
 }
