Require a completion that is not streamed to be whole JSON

Callers of internal/edge got status 200 and half a completion, with a length that made it look whole, when an engine that sends neither a length nor chunks closed its connection too early. It was billed.

Cause: nothing in the framing shows where such a body ends, and the router did not look at its content.

Change: a successful completion must be one JSON value; otherwise the attempt has failed, and is resumed or run again within the usual limits. Answers of plain services may have any content, so they stay as they are.

Result: TestCutCompletionIsNoSuccess fails before (four of six cases) and passes.

--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -12,8 +13,12 @@
 // Responses that are not streamed are read to the end, settled, and then sent to
 // the caller.
 
-// errResponseTooLarge means that a response exceeds Bounds.Answer.
-var errResponseTooLarge = errors.New("the response is too large")
+var (
+	// errResponseTooLarge means that a response exceeds Bounds.MaxResponseBytes.
+	errResponseTooLarge = errors.New("the response is too large")
+	// errNotJSON means that the response of an engine is not JSON, or not all of it.
+	errNotJSON = errors.New("the response is not a whole JSON value")
+)
 
 // upstreamResponse is a complete response of an upstream.
 type upstreamResponse struct {
@@ -111,13 +116,20 @@
 		errors.As(err, &status) && !status.retryable()
 }
 
-// fetch runs one exchange with the upstream and checks the status.
+// fetch runs one exchange with the upstream and checks status and body. A body with neither
+// a length nor chunks may have been cut, and only its content shows that.
 func (r *completionRequest) fetch(a *attempt) (*upstreamResponse, error) {
 	response, err := a.fetch(r.outgoingRequest(a))
 	if err != nil {
 		return nil, err
 	}
-	return response, r.checkStatus(a, response)
+	if err := r.checkStatus(a, response); err != nil {
+		return nil, err
+	}
+	if !json.Valid(response.body) {
+		return nil, poplar.Fail(poplar.StepStream, poplar.CodeUpstream, errNotJSON).At(string(a.target.name()))
+	}
+	return response, nil
 }
 
 func (r *completionRequest) outgoingRequest(a *attempt) outgoingRequest {
--- a/internal/edge/cut_event_test.go
+++ b/internal/edge/cut_event_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -123,3 +125,65 @@
 	assert.Equal(t, int(tokens), cutTokens+2)
 	assert.Equal(t, h.ledger.open(), 0)
 }
+
+// cutCompletion is an engine that cuts the bodies of its first responses, which end with
+// their connections.
+type cutCompletion struct {
+	cuts      int
+	responses int // invariant: number of responses; they follow one another
+}
+
+// ServeHTTP implements http.Handler.
+func (c *cutCompletion) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/completions" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	c.responses++
+	body := `{"choices":[{"text":"123","finish_reason":"stop"}],"usage":{"prompt_tokens":2,"completion_tokens":3}}`
+	if c.responses <= c.cuts {
+		body = body[:len(body)/2]
+	}
+	conn, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	fmt.Fprintf(out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n%s", body)
+	out.Flush()
+}
+
+// TestCutCompletionIsNoSuccess guards against a completion that is cut at the end of its
+// connection and reaches the caller as whole, with a length.
+func TestCutCompletionIsNoSuccess(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		cuts           int
+		status, billed int
+	}{
+		{"whole", 0, http.StatusOK, cutTokens + 2},
+		{"run again", 1, http.StatusOK, cutTokens + 2},
+		{"always cut", 100, http.StatusBadGateway, 0},
+	} {
+		for _, resume := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s resume=%t", c.name, resume), func(t *testing.T) {
+				h := newHarness(t, 1000)
+				_, s := h.startDaemon("a")
+				engine := &cutCompletion{cuts: c.cuts}
+				upstream := httptest.NewServer(engine)
+				defer upstream.Close()
+				n := testAnnouncement(upstream)
+				n.Resume = resume
+				h.announce(withNextSequence(n))
+				response := h.postCompletion(s, strings.Replace(completionBody(cutTokens), "true", "false", 1))
+				assert.Equal(t, response.StatusCode, c.status)
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.Assert(t, json.Valid(body), "%q", body)
+				_, tokens := h.ledger.bills()
+				assert.Equal(t, int(tokens), c.billed)
+				assert.Equal(t, h.ledger.open(), 0)
+			})
+		}
+	}
+}
