Bound the memory of all answers that a router holds

Operators of similar systems saw a faulty engine send without end until its caller closed: the machine ran out of memory, and the requests of all its clients ended with it.

Cause: each answer had a bound (8 MiB, an event 1 MiB, a head 64 KiB), and all of them together had none. Buffers that grew by copying added garbage.

Change: pkg/memory holds one limit for what is kept of answers, an eighth of the router's memory. When it is reached, the largest unfinished answer of the upstream that holds most is given up, and counts as broken. Blocks of memory are used again. A length beyond the bound of one answer is refused before its body is read. A caller that does not read a long answer has until its deadline.

--- a/internal/conns/call.go
+++ b/internal/conns/call.go
@@ -10,7 +10,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
+
+	"poplarbend.example/poplar/pkg/memory"
 )
 
 // This file holds one request on a connection.
@@ -39,12 +42,16 @@
 const (
 	maxHead    = 64 << 10
 	maxDropped = 64 << 10 // of a body that is read only to use the connection again
+	// headWeight is the memory that a parsed head takes, as a multiple of its size, where
+	// its lines are short.
+	headWeight = 8
 )
 
 // headReader bounds the bytes that are read for the head of an answer.
 type headReader struct {
-	conn net.Conn
-	left int // invariant: bytes that may still be read, or negative without a limit
+	conn   net.Conn
+	left   int             // invariant: bytes that may still be read, or negative without a limit
+	memory *memory.Account // counts what is read beyond the first buffer
 }
 
 func (r *headReader) Read(p []byte) (int, error) {
@@ -56,6 +63,11 @@
 	}
 	n, err := r.conn.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if long := min(n, maxHead-r.left-readBuffer); long > 0 {
+		if err := r.memory.Grow(int64(long) * headWeight); err != nil {
+			return 0, err
+		}
+	}
 	return n, err
 }
 
@@ -68,6 +80,8 @@
 	written chan error // invariant: yields once, when all was written
 	done    bool       // invariant: true once the connection was given back or closed
 	stop    func() bool
+	memory  *memory.Account // counts the head and what the caller reads of the body; nil once kept
+	evicted atomic.Bool     // true once the memory was taken away
 }
 
 // maxStrange is the number of answers to other requests that are skipped before
@@ -81,6 +95,7 @@
 // Send writes a request on c. The call ends with ctx.
 func (p *Pool) Send(ctx context.Context, c *Conn, r *Request) *Call {
 	k := &Call{pool: p, conn: c, written: make(chan error, 1)}
+	k.memory = p.answers.Open(c.address, k.evict)
 	k.stop = context.AfterFunc(ctx, k.Abort)
 	if len(r.Body) <= inlineBody {
 		k.written <- c.write(r)
@@ -112,11 +127,34 @@
 // Abort ends the call from any goroutine: reads and writes fail from now on.
 func (k *Call) Abort() { _ = k.conn.SetDeadline(time.Unix(1, 0)) }
 
+func (k *Call) evict() {
+	k.evicted.Store(true)
+	k.Abort()
+}
+
+// Evicted reports whether the call was ended since its answer took too much of the memory
+// for all answers.
+func (k *Call) Evicted() bool { return k.evicted.Load() }
+
+// Memory returns the account of the answer. The caller counts what it keeps of the body.
+func (k *Call) Memory() *memory.Account { return k.memory }
+
+// Keep makes an answer that was read to its end outlive the call, and returns its account,
+// which the caller closes. It reports false if the memory was taken away before.
+func (k *Call) Keep() (*memory.Account, bool) {
+	if !k.memory.Seal() {
+		return nil, false
+	}
+	kept := k.memory
+	k.memory = nil
+	return kept, true
+}
+
 // Answer reads the head of the answer. Answers that mine does not accept as
 // those to this request are skipped.
 func (k *Call) Answer(method string, mine func(*http.Response) bool) (*http.Response, error) {
-	k.conn.head.left = maxHead
-	defer func() { k.conn.head.left = -1 }()
+	k.conn.head.left, k.conn.head.memory = maxHead, k.memory
+	defer func() { k.conn.head.left, k.conn.head.memory = -1, nil }()
 	for range maxStrange + 1 {
 		resp, err := http.ReadResponse(k.conn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -163,6 +201,7 @@
 	}
 	k.done = true
 	alive := k.stop()
+	alive = k.memory.Close() && alive
 	select {
 	case err := <-k.written:
 		whole = whole && err == nil
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -96,7 +96,7 @@
 }
 
 func TestConnectionIsUsedAgain(t *testing.T) {
-	s, p := newServer(t), NewPool()
+	s, p := newServer(t), NewPool(nil)
 	var c net.Conn
 	body, first, err := s.exchange(t, p, "1", func(net.Conn) {
 		c, _ = s.take(t, nil)
@@ -116,7 +116,7 @@
 // TestStrayAnswerIsSkipped sends a second answer to the first request where the
 // answer to the second is due.
 func TestStrayAnswerIsSkipped(t *testing.T) {
-	s, p := newServer(t), NewPool()
+	s, p := newServer(t), NewPool(nil)
 	c := s.idle(t, p)
 	body, conn, err := s.exchange(t, p, "2", func(net.Conn) {
 		s.take(t, c)
@@ -135,7 +135,7 @@
 		"end":   func(c net.Conn) { c.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, p := newServer(t), NewPool()
+			s, p := newServer(t), NewPool(nil)
 			c := s.idle(t, p)
 			idle := p.idle[s.address()][0]
 			spoil(c)
@@ -166,7 +166,7 @@
 		{"no answer", "I am not HTTP\n\n", false, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s, p := newServer(t), NewPool()
+			s, p := newServer(t), NewPool(nil)
 			_, _, err := s.exchange(t, p, "1", func(net.Conn) {
 				c, _ := s.take(t, nil)
 				write(t, c, test.answer)
@@ -183,7 +183,7 @@
 
 // TestEndOfContextEndsTheCall ends a call whose upstream is silent.
 func TestEndOfContextEndsTheCall(t *testing.T) {
-	s, p := newServer(t), NewPool()
+	s, p := newServer(t), NewPool(nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	c, err := p.Get(ctx, s.address(), time.Now().Add(time.Second), time.Time{})
 	assert.NilError(t, err)
--- a/internal/conns/endless_test.go
+++ b/internal/conns/endless_test.go
@@ -46,7 +46,7 @@
 		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s, p := newServer(t), NewPool()
+			s, p := newServer(t), NewPool(nil)
 			e := &endless{server: s, start: test.start, repeat: test.repeat, closed: make(chan struct{})}
 			go e.run()
 			conn, err := p.Get(t.Context(), s.address(), time.Now().Add(time.Second), time.Time{})
@@ -71,7 +71,7 @@
 // TestSlowRefusalIsDropped ends a call whose body nobody needs and which a byte now
 // and then keeps open.
 func TestSlowRefusalIsDropped(t *testing.T) {
-	s, p := newServer(t), NewPool()
+	s, p := newServer(t), NewPool(nil)
 	conn, err := p.Get(t.Context(), s.address(), time.Now().Add(time.Second), time.Time{})
 	assert.NilError(t, err)
 	k := p.Send(t.Context(), conn, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}})
@@ -87,7 +87,7 @@
 // TestLateDropClosesTheConnection drops a whole body whose limit has passed: the end
 // of the limit may close the connection at any moment, so it must not be used again.
 func TestLateDropClosesTheConnection(t *testing.T) {
-	s, p := newServer(t), NewPool()
+	s, p := newServer(t), NewPool(nil)
 	conn, err := p.Get(t.Context(), s.address(), time.Now().Add(time.Second), time.Time{})
 	assert.NilError(t, err)
 	k := p.Send(t.Context(), conn, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}})
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"poplarbend.example/poplar/pkg/memory"
 )
 
 // This file holds the pool.
@@ -48,16 +50,19 @@
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	answers *memory.Limit // of what is kept of answers, by address
 
 	mu   sync.Mutex
 	idle map[string][]*Conn // invariant: guarded by mu; the latest used last
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
+// NewPool returns an empty pool. What is kept of answers counts against the given limit,
+// which may be nil.
+func NewPool(answers *memory.Limit) *Pool {
 	return &Pool{
-		idle: map[string][]*Conn{},
+		idle:    map[string][]*Conn{},
+		answers: answers,
 		dialer: net.Dialer{
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeGap, Count: probeCount},
 			Control:         control,
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -55,6 +55,9 @@
 	// one takes, in bytes. Near its limit the runtime collects garbage all the time.
 	callerPart   = 0.25
 	callerMemory = 24 << 10
+	// answerPart is the part of a router's memory that answers of upstreams may take. The
+	// runtime may take as much again before it collects what is left of them.
+	answerPart = 0.125
 )
 
 // quietLog drops what net/http says of connections that callers broke.
@@ -102,7 +105,8 @@
 		RetryBudget: proxy.RetryBudget{
 			Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatSpan,
 		},
-		EventLag: s.Lag, Share: s.Share, MaxCallers: int(callerPart * float64(s.Memory) / callerMemory), ParsePlan: parts.Read, Dialect: parts.Dialect, Log: p.log, Vars: p.vars,
+		EventLag: s.Lag, Share: s.Share, MaxCallers: int(callerPart * float64(s.Memory) / callerMemory), AnswerMemory: int64(answerPart * float64(s.Memory)),
+		ParsePlan: parts.Read, Dialect: parts.Dialect, Log: p.log, Vars: p.vars,
 	}, p.pool)}
 }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"hash/maphash"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/conns"
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/place"
 	"poplarbend.example/poplar/pkg/plan"
 )
@@ -41,6 +41,8 @@
 	// maxResponseBody is the maximum size, in bytes, of a response that is
 	// buffered until it is complete.
 	maxResponseBody = 8 << 20
+	// minWriteTime is the least time that a caller has to read a long answer.
+	minWriteTime = time.Second
 	// maxRefusals is the number of refusals by upstreams after which a request
 	// fails.
 	maxRefusals = 3
@@ -235,6 +237,9 @@
 	complete := false
 	defer func() { a.call.Finish(complete) }()
 	outcome := a.receive()
+	if a.call.Evicted() {
+		a.err = memory.ErrFull
+	}
 	x.retryTaken = a.stall.stop()
 	complete = a.complete
 	if outcome == resultBroken && x.ctx.Err() != nil {
@@ -390,11 +395,21 @@
 // deliverBuffered reads a complete response and delivers it.
 func (a *attempt) deliverBuffered(resp *http.Response, good bool) result {
 	x := a.x
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody+1))
-	if err != nil || len(body) > maxResponseBody {
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0
+	}
+	body, err := a.call.Memory().Read(resp.Body, length, maxResponseBody)
+	if err != nil {
 		a.err = err
 		return resultBroken
 	}
+	account, kept := a.call.Keep()
+	if !kept {
+		a.err = memory.ErrFull
+		return resultBroken
+	}
+	x.answers = append(x.answers, heldAnswer{body: body, account: account})
 	a.noteFirstByte()
 	a.complete = true
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body, upstream: a.u}
@@ -421,7 +436,19 @@
 	}
 	x.copyHeader(resp.header)
 	x.writeHeader(resp.status)
-	x.w.Write(resp.body)
+	if resp.body.Size() <= memory.Allowance {
+		resp.body.WriteTo(x.w)
+		return
+	}
+	// A caller that does not read must not keep the memory of a long answer.
+	control := http.NewResponseController(x.w)
+	limit := time.Now().Add(minWriteTime)
+	if limit.Before(x.deadline) {
+		limit = x.deadline
+	}
+	_ = control.SetWriteDeadline(limit)
+	resp.body.WriteTo(x.w)
+	_ = control.SetWriteDeadline(time.Time{})
 }
 
 // copyHeader copies the end-to-end header fields of the upstream's response.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/plan"
 )
 
@@ -59,8 +60,9 @@
 	headerWritten bool      // invariant: true once the response header was written
 	firstByteAt   time.Time
 	events        int
-	lastEventID   string    // invariant: id of the last event that was delivered
-	fallback      *response // invariant: failure response of an upstream, delivered if no retry succeeds
+	lastEventID   string       // invariant: id of the last event that was delivered
+	answers       []heldAnswer // whole answers; freed at the end of the exchange
+	fallback      *response    // invariant: failure response of an upstream, delivered if no retry succeeds
 	upstream      *upstream
 	status        int
 }
@@ -69,7 +71,7 @@
 type response struct {
 	status   int
 	header   http.Header
-	body     []byte
+	body     memory.Blocks
 	upstream *upstream
 }
 
@@ -80,6 +82,7 @@
 	p.openRequests.Add(1)
 	defer p.openRequests.Add(-1)
 	x := &exchange{p: p, w: w, r: r, view: p.view.Load(), start: time.Now(), tried: map[*upstream]bool{}}
+	defer x.freeAnswers()
 	err := x.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
@@ -94,6 +97,20 @@
 	x.finish(err)
 }
 
+// heldAnswer is the body of a whole answer and its account.
+type heldAnswer struct {
+	body    memory.Blocks
+	account *memory.Account
+}
+
+// freeAnswers gives the memory of whole answers back.
+func (x *exchange) freeAnswers() {
+	for _, h := range x.answers {
+		h.body.Free()
+		h.account.Close()
+	}
+}
+
 // prepare parses the request, finds its route and workspace, and reads its
 // body.
 func (x *exchange) prepare() *poplar.Error {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -21,6 +21,10 @@
 	Overloaded bool `json:"overloaded"`
 	Busy       bool `json:"busy"`
 	Ready      bool `json:"ready"`
+	// Answers is the memory of answers that are not delivered yet, in bytes, and Evicted the
+	// number of answers that were given up to make room.
+	Answers int64 `json:"answers"`
+	Evicted int64 `json:"evicted"`
 }
 
 // status returns the current status.
@@ -29,6 +33,7 @@
 	s := status{
 		Upstreams: map[string]int{}, Routers: len(v.routers), Fresh: p.fresh(time.Now()), Open: p.openRequests.Load(), Ready: p.Ready(),
 		Callers: p.callers.Load(), Overloaded: p.dials.overloaded(time.Now()), Busy: p.cpu.busy.Load(),
+		Answers: p.answers.Used(), Evicted: p.answers.Evicted(),
 	}
 	if v.table != nil {
 		s.Revision = v.table.Plan().Revision
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -26,6 +27,7 @@
 	"poplarbend.example/poplar/internal/loops"
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/internal/trace"
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/place"
 	"poplarbend.example/poplar/pkg/plan"
 	"poplarbend.example/poplar/pkg/retry"
@@ -47,6 +49,9 @@
 	sweepPeriod = time.Second
 )
 
+// defaultAnswerMemory is the memory of answers where the settings name none, in bytes.
+const defaultAnswerMemory = 64 << 20
+
 // RetryBudget limits the retries that the fleet sends to one service.
 type RetryBudget struct {
 	Ratio  float64       // retries per request
@@ -70,6 +75,9 @@
 	// MaxCallers is the number of connections of callers beyond which the router closes
 	// those that it has answered, 0 for any number.
 	MaxCallers int
+	// AnswerMemory is the most memory of answers of upstreams that are not delivered yet, in
+	// bytes, or 0 for defaultAnswerMemory.
+	AnswerMemory int64
 	// ParsePlan parses a configuration document.
 	ParsePlan func(document []byte) (*plan.Plan, error)
 	Dialect   poplar.Dialect
@@ -83,6 +91,7 @@
 	log      *log.Logger
 	pool     *peer.Pool
 	conns    *conns.Pool
+	answers  *memory.Limit
 	model    place.CostModel
 	wallet   *wallet.Wallet
 	metrics  metrics
@@ -132,11 +141,13 @@
 
 // New returns a router that is not started.
 func New(s Settings, pool *peer.Pool) *Proxy {
+	answers := memory.NewLimit(cmp.Or(s.AnswerMemory, defaultAnswerMemory))
 	p := &Proxy{
 		settings:     s,
 		log:          s.Log,
 		pool:         pool,
-		conns:        conns.NewPool(),
+		conns:        conns.NewPool(answers),
+		answers:      answers,
 		model:        place.DefaultCostModel(),
 		wallet:       wallet.NewWallet(s.Holder, wallet.DefaultPolicy(), time.Now()),
 		metrics:      newMetrics(s.Vars),
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -84,13 +84,19 @@
 type script map[string][]string
 
 func newHarness(t testing.TB, s script) *harness {
+	t.Helper()
+	return newHarnessWithMemory(t, s, 0)
+}
+
+// newHarnessWithMemory is newHarness with a limit for answers, in bytes.
+func newHarnessWithMemory(t testing.TB, s script, answers int64) *harness {
 	t.Helper()
 	logger, err := trace.New(io.Discard, "error", "r")
 	assert.NilError(t, err)
 	h := &harness{t: t, cancelled: make(chan string, 16), noRouters: len(s) == 0}
 	h.proxy = New(Settings{
 		Domain: "d", Holder: wallet.Holder{Name: "r", Incarnation: 1}, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 20, Window: 10 * time.Second},
-		Dialect: dialect{}, Log: logger, Vars: trace.NewVars(),
+		Dialect: dialect{}, Log: logger, Vars: trace.NewVars(), AnswerMemory: answers,
 	}, peer.NewPool("r", "", nil))
 	t.Cleanup(h.proxy.Stop)
 	var entries []roster.Entry
@@ -159,6 +165,9 @@
 //   - mute: no response until the request is cancelled
 //   - unsealed: a response without a seal
 //   - endless: the first lines of an event that has no end
+//   - flood: a response that has no end
+//   - long N: a complete response of N bytes
+//   - event N: a complete stream of one event of N bytes and a bit
 //   - pause: a complete stream with a pause that is longer than the stall timeout
 //   - stream N: the events up to N of 6; the response breaks off after event N,
 //     or is complete if N is 6
@@ -220,6 +229,16 @@
 		for _, err := w.Write(line); err == nil; _, err = w.Write(line) {
 		}
 		u.harness.cancelled <- r.Header.Get("Id")
+	case "flood":
+		block := make([]byte, 32<<10)
+		for _, err := w.Write(block); err == nil; _, err = w.Write(block) {
+		}
+	case "long":
+		size, _ := strconv.Atoi(arg)
+		fmt.Fprint(w, strings.Repeat("x", size))
+	case "event":
+		size, _ := strconv.Atoi(arg)
+		fmt.Fprintf(w, "id: 1\ndata: %s\n\n", strings.Repeat("x", size))
 	case "pause":
 		fmt.Fprint(w, "id: 1\ndata: 1\n\n")
 		_ = http.NewResponseController(w).Flush()
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/plan"
 )
 
@@ -37,10 +38,12 @@
 	defer releaseEventReader(reader)
 	control := http.NewResponseController(x.w)
 	resumed, first := x.headerWritten, true
-	var event []byte
+	buffer := memory.NewBuffer(a.call.Memory())
+	defer buffer.Free()
 	for {
-		var err error
-		event, err = readEvent(reader, event[:0])
+		buffer.Reset()
+		err := readEvent(reader, buffer)
+		event := buffer.Bytes()
 		a.stall.reset()
 		eof := errors.Is(err, io.EOF)
 		switch {
@@ -168,27 +171,29 @@
 	return true
 }
 
-// readEvent appends the next event, with the blank line that ends it, to
-// buffer. At the end of a complete response it returns io.EOF and the data
-// after the last event.
-func readEvent(r *bufio.Reader, buffer []byte) ([]byte, error) {
+// readEvent appends the next event, with the blank line that ends it, to buffer. At
+// the end of a complete response it returns io.EOF, and buffer has the data after the
+// last event.
+func readEvent(r *bufio.Reader, buffer *memory.Buffer) error {
 	for {
-		start := len(buffer)
+		start := len(buffer.Bytes())
 		for {
 			line, err := r.ReadSlice('\n')
-			buffer = append(buffer, line...)
-			if len(buffer) > maxEventSize {
-				return buffer, errEventTooLong
+			if len(buffer.Bytes())+len(line) > maxEventSize {
+				return errEventTooLong
+			}
+			if err := buffer.Append(line); err != nil {
+				return err
 			}
 			if err == nil {
 				break
 			}
 			if !errors.Is(err, bufio.ErrBufferFull) {
-				return buffer, err
+				return err
 			}
 		}
-		if line := bytes.TrimRight(buffer[start:], "\r\n"); len(line) == 0 {
-			return buffer, nil
+		if line := bytes.TrimRight(buffer.Bytes()[start:], "\r\n"); len(line) == 0 {
+			return nil
 		}
 	}
 }
