Do not complete a stream whose event after the finish is too long

Callers of internal/edge saw a whole stream where an event after the one with the finish reason was longer than an event may be, so that its rest was not read.

Cause: as for a stream that is cut there; errors for length were left out of the check.

Change: every error inside an event or a line is reported as such.

--- a/internal/edge/cut_event_test.go
+++ b/internal/edge/cut_event_test.go
@@ -45,7 +45,7 @@
 		fmt.Fprint(w, tokenEvents(id, from)+finalEvents(id))
 		return
 	}
-	body := tokenEvents(id, 0) + strings.ReplaceAll(strings.ReplaceAll(c.cut, "ID", id), ";", "\n")
+	body := tokenEvents(id, 0) + strings.NewReplacer("ID", id, ";", "\n", "LONG", strings.Repeat("x", maxEventBytes+10)).Replace(c.cut)
 	switch c.framing {
 	case "length":
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -20,13 +20,17 @@
 var (
 	// errEventTooLarge means that an event exceeds maxEventBytes.
 	errEventTooLarge = errors.New("an event is too large")
-	// errCutEvent means that the stream ended inside an event.
-	errCutEvent = errors.New("the stream ended inside an event")
+	// errCutEvent means that the stream ended inside an event, or that the rest of the
+	// event is not read.
+	errCutEvent = errors.New("the event is not whole")
 )
 
 // cutEvent returns the error of a stream that ended inside an event with err. Inside an
 // event also a proper end is an unexpected one.
 func cutEvent(err error) error {
+	if errors.Is(err, errCutEvent) {
+		return err
+	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -97,7 +101,7 @@
 	for begun := false; ; {
 		line, err := r.readLine()
 		if err != nil {
-			if begun && !errors.Is(err, errCutEvent) && !errors.Is(err, errEventTooLarge) {
+			if begun {
 				err = cutEvent(err)
 			}
 			return event, err
@@ -115,7 +119,7 @@
 			}
 			r.data = append(r.data, bytes.TrimPrefix(line[len(fieldData):], []byte(" "))...)
 			if len(r.data) > maxEventBytes {
-				return event, errEventTooLarge
+				return event, cutEvent(errEventTooLarge)
 			}
 		case bytes.HasPrefix(line, fieldID):
 			event.parseID(bytes.TrimPrefix(line[len(fieldID):], []byte(" ")))
@@ -139,7 +143,7 @@
 	long := bytes.Clone(line)
 	for errors.Is(err, bufio.ErrBufferFull) {
 		if len(long) > maxEventBytes {
-			return nil, errEventTooLarge
+			return nil, cutEvent(errEventTooLarge)
 		}
 		line, err = r.in.ReadSlice('\n')
 		long = append(long, line...)
