Bound the memory of all responses that internal/edge holds

Cause: as in internal/proxy, each response had a bound and all of them together had none. The events from the finish reason on had no bound at all, and headers that of the library, some 10 MiB.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/pkg/memory"
 )
 
 // An attempt is reserved, run at one or more upstreams, and settled once.
@@ -32,7 +33,8 @@
 	reserved  poplar.Tokens // invariant: tokens that the ledger has reserved for the attempt
 	resume    bool          // true if the attempt joins a generation of an earlier one
 	failovers int
-	settled   bool // invariant: true once the only settlement was sent
+	settled   bool              // invariant: true once the only settlement was sent
+	responses []*memory.Account // of whole responses; closed by finish
 }
 
 // extend raises the reservation by more tokens.
@@ -154,6 +156,9 @@
 // finish settles an attempt that ended without a settlement.
 func (a *attempt) finish() {
 	a.target.release()
+	for _, account := range a.responses {
+		account.Close()
+	}
 	if a.settled {
 		return
 	}
--- a/internal/edge/buffered.go
+++ b/internal/edge/buffered.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/pkg/memory"
 )
 
 // Responses that are not streamed are read to the end, settled, and then sent to
@@ -45,19 +45,41 @@
 	if err := h.checkIdentity(a.grant.Attempt); err != nil {
 		return nil, err
 	}
-	limit := a.call.edge.conf.Bounds.MaxResponseBytes
-	body, err := io.ReadAll(io.LimitReader(h, limit+1))
+	body, err := a.readBody(h)
 	if err != nil {
 		return nil, fmt.Errorf("read response: %w", err)
 	}
-	if int64(len(body)) > limit {
-		return nil, errResponseTooLarge
-	}
 	h.recordToken()
 	a.call.recordFirstToken()
 	return &upstreamResponse{status: h.response.StatusCode, header: h.response.Header, body: body}, nil
 }
 
+// readBody reads the whole body of a response. Its memory is counted until the attempt
+// finishes.
+func (a *attempt) readBody(h *hop) ([]byte, error) {
+	length := h.response.ContentLength
+	if h.response.Body == http.NoBody {
+		length = 0
+	}
+	blocks, err := h.memory.Read(h, length, a.call.edge.conf.Bounds.MaxResponseBytes)
+	if errors.Is(err, memory.ErrTooLong) {
+		return nil, errResponseTooLarge
+	}
+	if err != nil {
+		return nil, err
+	}
+	body, err := h.memory.Join(blocks)
+	if err != nil {
+		return nil, err
+	}
+	if !h.memory.Seal() {
+		return nil, memory.ErrFull
+	}
+	a.responses = append(a.responses, h.memory)
+	h.memory = nil
+	return body, nil
+}
+
 // storedResponse encodes the response for storage in the ledger. It returns nil
 // if the request is not keyed or the response exceeds the configured size.
 func (a *attempt) storedResponse(response *upstreamResponse) []byte {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,6 +16,7 @@
 	"poplarbend.example/poplar/internal/fault"
 	"poplarbend.example/poplar/internal/intake"
 	"poplarbend.example/poplar/internal/trace"
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/poison"
 )
 
@@ -81,6 +82,7 @@
 	pools     *pools // nil if Config.Gate was set
 	retries   *retryBudgets
 	crashes   *crashTracker
+	responses *memory.Limit // of what is kept of responses, by upstream
 	metrics   *metrics
 }
 
@@ -104,6 +106,9 @@
 	}
 	config.Roster.Obey(config.Policy)
 	e.conf, e.metrics = config, newMetrics(config.Vars)
+	e.responses = memory.NewLimit(config.Bounds.MaxBufferedBytes)
+	config.Vars.Func("buffered", func() any { return e.responses.Used() })
+	config.Vars.Func("evicted", func() any { return e.responses.Evicted() })
 	e.aborted, e.abort = context.WithCancelCause(context.Background())
 	e.backlog.wake = make(chan struct{}, 1)
 	e.pooled = newTransport(false)
@@ -152,14 +157,15 @@
 // while idle.
 func newTransport(singleUse bool) *http.Transport {
 	return &http.Transport{
-		DisableCompression:  true,
-		DisableKeepAlives:   singleUse,
-		MaxIdleConns:        maxIdleConns,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		WriteBufferSize:     bufferBytes,
-		ReadBufferSize:      bufferBytes,
-		DialContext:         dial,
+		DisableCompression:     true,
+		DisableKeepAlives:      singleUse,
+		MaxIdleConns:           maxIdleConns,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        idleConnTimeout,
+		WriteBufferSize:        bufferBytes,
+		ReadBufferSize:         bufferBytes,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DialContext:            dial,
 	}
 }
 
@@ -168,5 +174,7 @@
 	maxIdleConnsPerHost = 512
 	idleConnTimeout     = 60 * time.Second
 	bufferBytes         = 4 << 10
-	dialTimeout         = time.Second
+	// maxResponseHeaderBytes is the maximum size of the header of a response.
+	maxResponseHeaderBytes = 32 << 10
+	dialTimeout            = time.Second
 )
--- a/internal/edge/fuzz_test.go
+++ b/internal/edge/fuzz_test.go
@@ -59,7 +59,7 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		atOnce, byByte := newSSEReader(bytes.NewReader(stream)), newSSEReader(iotest.OneByteReader(bytes.NewReader(stream)))
+		atOnce, byByte := newSSEReader(bytes.NewReader(stream), nil), newSSEReader(iotest.OneByteReader(bytes.NewReader(stream)), nil)
 		for {
 			a, err := atOnce.next()
 			data := bytes.Clone(a.data)
--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -18,6 +18,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/pkg/limit"
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/route"
 )
@@ -59,6 +60,7 @@
 	ctx           context.Context
 	span          trace.Span
 	response      *http.Response
+	memory        *memory.Account // counts what is kept of the response
 	state         *route.LocalState
 	promptTokens  poplar.Tokens
 	sentAt        time.Time
@@ -97,6 +99,7 @@
 	span.SetAttributes(attribute.String("poplar.upstream", string(h.upstream)), attribute.Int("poplar.attempt", int(a.grant.Attempt)))
 	h.span = span
 	h.ctx, h.cancel = context.WithCancelCause(ctx)
+	h.memory = c.edge.responses.Open(string(h.upstream), h.evict)
 	request, err := a.newRequest(httptrace.WithClientTrace(h.ctx, c.connectionTrace()), out)
 	if err != nil {
 		h.cancel(err)
@@ -119,6 +122,9 @@
 	return h, nil
 }
 
+// evict ends the hop, whose response takes too much of the memory for all responses.
+func (h *hop) evict() { h.cancel(memory.ErrFull) }
+
 // maxPause bounds the time that an upstream may name, so that times with it cannot
 // overflow.
 const maxPause = 24 * time.Hour
@@ -273,6 +279,7 @@
 // end.
 func (h *hop) close(err error) {
 	h.stallTimer.Stop()
+	h.memory.Close()
 	if h.response != nil {
 		h.response.Body.Close()
 	}
--- /dev/null
+++ b/internal/edge/memory_test.go
@@ -0,0 +1,141 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/fake"
+	"poplarbend.example/poplar/pkg/memory"
+)
+
+// endlessEngine sends the same bytes until the request is cancelled. ID stands for the id of
+// the request.
+type endlessEngine struct {
+	header, start, repeat string
+	requests              atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (e *endlessEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/v1/completions" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	e.requests.Add(1)
+	conn, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	id := r.Header.Get(poplar.HeaderRequest)
+	fmt.Fprintf(out, "HTTP/1.1 200 OK\r\n%s%s", e.header, strings.ReplaceAll(e.start, "ID", id))
+	block := strings.Repeat(strings.ReplaceAll(e.repeat, "ID", id), 1+16<<10/len(e.repeat))
+	for err == nil {
+		_, err = out.WriteString(block)
+	}
+}
+
+// memoryWatch watches the memory that is held until it is stopped.
+type memoryWatch struct {
+	limit *memory.Limit
+	stop  chan struct{}
+	most  chan int64 // yields the most memory that was seen
+}
+
+func (w *memoryWatch) run() {
+	most := int64(0)
+	for {
+		most = max(most, w.limit.Used())
+		select {
+		case <-w.stop:
+			w.most <- most
+			return
+		case <-time.After(100 * time.Microsecond):
+		}
+	}
+}
+
+// TestEndlessResponsesShareMemory guards against an engine whose responses have no end: all
+// of them together must stay within the limit of the daemon, none may look complete, and
+// requests to another engine must be served beside.
+func TestEndlessResponsesShareMemory(t *testing.T) {
+	const limit, requests = 1 << 20, 24
+	const finish = "data: {\"id\":\"ID\",\"choices\":[{\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n"
+	for _, c := range []struct {
+		name   string
+		engine *endlessEngine
+		stream bool
+	}{
+		{"body", &endlessEngine{header: "\r\n", start: `{"choices":"`, repeat: "x"}, false},
+		{"long body", &endlessEngine{header: "Content-Length: 9000000000\r\n\r\n", start: `{"choices":"`, repeat: "x"}, false},
+		{"header line", &endlessEngine{header: "X: ", start: "", repeat: "x"}, true},
+		{"header lines", &endlessEngine{header: "", start: "", repeat: "X: y\r\n"}, true},
+		{"line of an event", &endlessEngine{header: "\r\n", start: "data: ", repeat: "x"}, true},
+		{"lines of an event", &endlessEngine{header: "\r\n", start: "", repeat: "data: x\n"}, true},
+		{"line after the end", &endlessEngine{header: "\r\n", start: finish + "data: ", repeat: "x"}, true},
+		{"events after the end", &endlessEngine{header: "\r\n", start: finish, repeat: finish}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHarness(t, 1_000_000)
+			h.policy = compilePolicy(t, `"models": {"large": {"tokens": 1000}}`)
+			h.bounds.MaxBufferedBytes = limit
+			e, s := h.startDaemon("a")
+			upstream := httptest.NewServer(c.engine)
+			defer upstream.Close()
+			n := testAnnouncement(upstream)
+			n.Slots, n.Models = requests, []poplar.Model{"large"}
+			h.announce(withNextSequence(n))
+			h.startEngine(fake.Settings{Name: "sound"})
+			watch := &memoryWatch{limit: e.responses, stop: make(chan struct{}), most: make(chan int64)}
+			go watch.run()
+			var done sync.WaitGroup
+			for range requests {
+				done.Go(func() { checkEndless(t, h, s, c.stream) })
+				done.Go(func() {
+					response, err := h.send(t.Context(), s, "POST", "/v1/completions", completionBody(3))
+					if assert.Check(t, err) {
+						assert.Check(t, readStream(response.Body).done)
+						response.Body.Close()
+					}
+				})
+			}
+			done.Wait()
+			close(watch.stop)
+			most := <-watch.most
+			t.Logf("at most %d bytes, %d responses evicted, %d requests at the engine", most, e.responses.Evicted(), c.engine.requests.Load())
+			assert.Assert(t, c.engine.requests.Load() > 0)
+			assert.Assert(t, most <= limit, "%d bytes", most)
+			eventually(t, "no memory is held", func() bool { return e.responses.Used() == 0 })
+			assert.Equal(t, h.ledger.open(), 0)
+		})
+	}
+}
+
+// checkEndless sends a request for the model of the endless engine.
+func checkEndless(t *testing.T, h *harness, s *httptest.Server, stream bool) {
+	body := strings.Replace(completionBody(3), "small", "large", 1)
+	if !stream {
+		body = strings.Replace(body, "true", "false", 1)
+	}
+	response, err := h.send(t.Context(), s, "POST", "/v1/completions", body)
+	if !assert.Check(t, err) {
+		return
+	}
+	defer response.Body.Close()
+	if stream {
+		assert.Check(t, !readStream(response.Body).done)
+	} else {
+		assert.Check(t, response.StatusCode >= 400, "status %d", response.StatusCode)
+	}
+}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -25,6 +25,9 @@
 	// errExtendFailed means that the ledger could not raise the reservation for a
 	// reason other than the budget.
 	errExtendFailed = errors.New("the reservation cannot be raised")
+	// errEndTooLarge means that the events from the one with the finish reason on exceed
+	// maxEventBytes.
+	errEndTooLarge = errors.New("the end of the response is too large")
 	// errUnknownGeneration means that the upstream has no generation to resume.
 	errUnknownGeneration = errors.New("the upstream does not know the generation")
 )
@@ -33,6 +36,9 @@
 // in a stream without token numbers.
 const maxTokenlessEvents = 8
 
+// finalEventOverhead is the memory that a held event takes besides its data, in bytes.
+const finalEventOverhead = 64
+
 // relay is one streamed response, possibly over several hops.
 type relay struct {
 	attempt      *attempt
@@ -43,6 +49,7 @@
 	usageKnown   bool          // true once the engine has reported usage
 	responseID   []byte        // id that the events of the generation carry; nil before the first event
 	finalEvents  [][]byte      // held back until the settlement
+	finalBytes   int64         // invariant: memory of finalEvents, at most maxEventBytes
 	stored       []byte        // events to store for a retry, if keyed
 	tooLarge     bool          // true once stored exceeded the configured size
 	resumes      int           // resumptions since the last new token
@@ -75,7 +82,7 @@
 	if resume {
 		setResumeHeader(out.header, r.generated)
 	}
-	r.finalEvents = nil // the engine sends the end of the response again
+	r.finalEvents, r.finalBytes = nil, 0 // the engine sends the end of the response again
 	h, err := a.open(out)
 	if err != nil {
 		return err
@@ -107,7 +114,8 @@
 
 // forwardEvents relays the events of one hop.
 func (r *relay) forwardEvents(h *hop) error {
-	events := newSSEReader(h)
+	events := newSSEReader(h, h.memory)
+	defer events.free()
 	for {
 		event, err := events.next()
 		switch {
@@ -138,8 +146,7 @@
 	}
 	if event.isFinal() || len(r.finalEvents) > 0 {
 		r.attempt.call.response.flushBuffered()
-		r.holdBack(event)
-		return nil
+		return r.holdBack(h, event)
 	}
 	if event.numbered && event.position <= r.generated {
 		return nil // already sent
@@ -184,13 +191,21 @@
 }
 
 // holdBack retains an event until the settlement.
-func (r *relay) holdBack(event *sseEvent) {
+func (r *relay) holdBack(h *hop, event *sseEvent) error {
+	size := int64(len(event.data) + finalEventOverhead)
+	if r.finalBytes += size; r.finalBytes > maxEventBytes {
+		return errEndTooLarge
+	}
+	if err := h.memory.Grow(size); err != nil {
+		return err
+	}
 	if event.hasUsage() {
 		if prompt, generated, ok := parseUsage(event.data); ok {
 			r.promptTokens, r.generated, r.usageKnown = prompt, generated, true
 		}
 	}
 	r.finalEvents = append(r.finalEvents, bytes.Clone(event.data))
+	return nil
 }
 
 // ensureReserved makes the reservation cover the given number of completion
--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/pkg/memory"
 )
 
 // Server-sent events are decoded according to the HTML standard, section 9.2.6,
@@ -82,10 +83,20 @@
 // sseReader reads events from an upstream.
 type sseReader struct {
 	in   *bufio.Reader
-	data []byte // reused between events
+	data *memory.Buffer // reused between events
+	long *memory.Buffer // a line that is longer than the buffer of in
 }
 
-func newSSEReader(r io.Reader) *sseReader { return &sseReader{in: bufio.NewReaderSize(r, bufferBytes)} }
+// newSSEReader returns a reader whose events count against an account, which may be nil.
+func newSSEReader(r io.Reader, account *memory.Account) *sseReader {
+	return &sseReader{in: bufio.NewReaderSize(r, bufferBytes), data: memory.NewBuffer(account), long: memory.NewBuffer(account)}
+}
+
+// free gives the memory of the last event back.
+func (r *sseReader) free() {
+	r.data.Free()
+	r.long.Free()
+}
 
 // hasBufferedEvent reports whether another event can be read without blocking.
 func (r *sseReader) hasBufferedEvent() bool {
@@ -97,7 +108,7 @@
 // At the end of the stream it returns io.EOF, and errCutEvent inside an event.
 func (r *sseReader) next() (sseEvent, error) {
 	var event sseEvent
-	r.data = r.data[:0]
+	r.data.Reset()
 	for begun := false; ; {
 		line, err := r.readLine()
 		if err != nil {
@@ -109,17 +120,12 @@
 		begun = len(line) > 0 && (begun || line[0] != ':')
 		switch {
 		case len(line) == 0:
-			if len(r.data) > 0 {
-				event.data = r.data
+			if event.data = r.data.Bytes(); len(event.data) > 0 {
 				return event, nil
 			}
 		case bytes.HasPrefix(line, fieldData):
-			if len(r.data) > 0 {
-				r.data = append(r.data, '\n')
-			}
-			r.data = append(r.data, bytes.TrimPrefix(line[len(fieldData):], []byte(" "))...)
-			if len(r.data) > maxEventBytes {
-				return event, cutEvent(errEventTooLarge)
+			if err := r.appendData(bytes.TrimPrefix(line[len(fieldData):], []byte(" "))); err != nil {
+				return event, cutEvent(err)
 			}
 		case bytes.HasPrefix(line, fieldID):
 			event.parseID(bytes.TrimPrefix(line[len(fieldID):], []byte(" ")))
@@ -127,6 +133,20 @@
 	}
 }
 
+// appendData adds a line to the data of the event.
+func (r *sseReader) appendData(line []byte) error {
+	size := len(r.data.Bytes())
+	if size+1+len(line) > maxEventBytes {
+		return errEventTooLarge
+	}
+	if size > 0 {
+		if err := r.data.Append([]byte{'\n'}); err != nil {
+			return err
+		}
+	}
+	return r.data.Append(line)
+}
+
 // readLine reads one line and strips the line ending. At the end of the stream it returns
 // errCutEvent inside a line.
 func (r *sseReader) readLine() ([]byte, error) {
@@ -140,18 +160,23 @@
 		}
 		return nil, err
 	}
-	long := bytes.Clone(line)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > maxEventBytes {
+	r.long.Reset()
+	for {
+		if len(r.long.Bytes())+len(line) > maxEventBytes {
 			return nil, cutEvent(errEventTooLarge)
 		}
+		if err := r.long.Append(line); err != nil {
+			return nil, cutEvent(err)
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			break
+		}
 		line, err = r.in.ReadSlice('\n')
-		long = append(long, line...)
 	}
 	if err != nil {
 		return nil, cutEvent(err)
 	}
-	return bytes.TrimRight(long, "\r\n"), nil
+	return bytes.TrimRight(r.long.Bytes(), "\r\n"), nil
 }
 
 // parseID parses an event id of the form ATTEMPT-TOKENS. Any other id is
--- a/internal/issuer/send.go
+++ b/internal/issuer/send.go
@@ -18,6 +18,7 @@
 const (
 	sendTimeout    = 2 * time.Second
 	maxAnswerBytes = 4 << 10
+	maxHeaderBytes = 32 << 10
 )
 
 // ordersPath is the URL path at which engines accept orders.
@@ -35,7 +36,7 @@
 		return &leaseConn{Conn: c, checkLease: t.checkLease}, nil
 	}
 	return &http.Client{
-		Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+		Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -188,6 +188,10 @@
 			assert.Assert(t, bytes.Equal(out.Bytes(), data), "%d bytes, length %d", size, length)
 			assert.Equal(t, blocks.Size(), size)
 			assert.Assert(t, l.Used()+Allowance >= int64(size))
+			joined, err := a.Join(blocks)
+			assert.NilError(t, err)
+			assert.Assert(t, bytes.Equal(joined, data), "%d bytes, length %d", size, length)
+			assert.Assert(t, l.Used()+Allowance >= int64(size) && l.Used() <= int64(max(size, 2*firstBlock)))
 			assert.Assert(t, a.Close())
 			assert.Equal(t, l.Used(), int64(0))
 		}
--- a/pkg/memory/read.go
+++ b/pkg/memory/read.go
@@ -37,6 +37,9 @@
 		block, err := fill(r, newBlock(int(size)))
 		if len(block) > 0 {
 			blocks = append(blocks, block)
+		} else {
+			freeBlock(block)
+			a.Shrink(size)
 		}
 		if total += int64(len(block)); total > most {
 			err = ErrTooLong
@@ -51,6 +54,30 @@
 	}
 }
 
+// Join returns the bytes in one piece and frees the blocks. The account counts both until
+// then.
+func (a *Account) Join(b Blocks) ([]byte, error) {
+	if len(b) == 1 {
+		return b[0], nil
+	}
+	counted := int64(0)
+	for _, block := range b {
+		counted += int64(cap(block))
+	}
+	size := b.Size()
+	if err := a.Grow(int64(size)); err != nil {
+		b.Free()
+		return nil, err
+	}
+	joined := make([]byte, 0, size)
+	for _, block := range b {
+		joined = append(joined, block...)
+	}
+	b.Free()
+	a.Shrink(counted)
+	return joined, nil
+}
+
 // fill reads until the block is full or r fails, and returns what was read.
 func fill(r io.Reader, block []byte) ([]byte, error) {
 	for n := 0; ; {
