End a stream of internal/edge that brings nothing new

Callers saw heartbeats for as long as they stayed while an engine sent without end events of other requests, repeated events or comments.

Cause: each byte counted as a sign of life, and nothing else bounds a stream there.

Change: at most 4 MiB may come without a token or the end of the response; then the stream is broken and handled as such.

Result: TestSkippedEventsEndTheStream fails before (six of six cases, each after 20 s) and passes.

--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -122,6 +123,38 @@
 	}
 }
 
+// TestSkippedEventsEndTheStream guards against an engine that sends without end what belongs
+// to no request: the stream must end, long before the caller leaves, and not look complete.
+func TestSkippedEventsEndTheStream(t *testing.T) {
+	const token = "id: 1-1\ndata: {\"id\":\"ID\",\"choices\":[{\"text\":\"1\",\"finish_reason\":null}]}\n\n"
+	for name, repeat := range map[string]string{
+		"comments":                  ": waiting\n\n",
+		"empty lines":               "\n",
+		"other fields":              "event: x\n\n",
+		"events of another request": "id: 1-1\ndata: {\"id\":\"other\"}\n\n",
+		"events of another attempt": "id: 9-1\ndata: {\"id\":\"ID\"}\n\n",
+		"repeated events":           token,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1000)
+			_, s := h.startDaemon("a")
+			upstream := httptest.NewServer(&endlessEngine{header: "\r\n", start: token, repeat: repeat})
+			defer upstream.Close()
+			h.announce(withNextSequence(testAnnouncement(upstream)))
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			response, err := h.send(ctx, s, "POST", "/v1/completions", completionBody(5))
+			assert.NilError(t, err)
+			defer response.Body.Close()
+			got := readStream(response.Body)
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.problem, "upstream")
+			assert.Assert(t, !got.done)
+			assert.Equal(t, h.ledger.open(), 0)
+		})
+	}
+}
+
 // checkEndless sends a request for the model of the endless engine.
 func checkEndless(t *testing.T, h *harness, s *httptest.Server, stream bool) {
 	body := strings.Replace(completionBody(3), "small", "large", 1)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -132,9 +132,13 @@
 			}
 			return nil
 		}
+		generated, held := r.generated, len(r.finalEvents)
 		if err := r.handleEvent(h, &event, !events.hasBufferedEvent()); err != nil {
 			return err
 		}
+		if r.generated > generated || len(r.finalEvents) > held {
+			events.advanced()
+		}
 	}
 }
 
--- a/internal/edge/sse.go
+++ b/internal/edge/sse.go
@@ -15,12 +15,19 @@
 // Server-sent events are decoded according to the HTML standard, section 9.2.6,
 // as far as engines use them.
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds the size of one event.
+	maxEventBytes = 1 << 20
+	// maxUselessBytes bounds what an engine sends without a token or the end of the
+	// response: comments, repeated events, and those of other requests.
+	maxUselessBytes = 4 << 20
+)
 
 var (
 	// errEventTooLarge means that an event exceeds maxEventBytes.
 	errEventTooLarge = errors.New("an event is too large")
+	// errUseless means that a stream exceeds maxUselessBytes.
+	errUseless = errors.New("the stream brings nothing new")
 	// errCutEvent means that the stream ended inside an event, or that the rest of the
 	// event is not read.
 	errCutEvent = errors.New("the event is not whole")
@@ -85,6 +92,8 @@
 	in   *bufio.Reader
 	data *memory.Buffer // reused between events
 	long *memory.Buffer // a line that is longer than the buffer of in
+
+	useless int // bytes read since the last call of advanced
 }
 
 // newSSEReader returns a reader whose events count against an account, which may be nil.
@@ -98,6 +107,9 @@
 	r.long.Free()
 }
 
+// advanced notes that the last event brought something new.
+func (r *sseReader) advanced() { r.useless = 0 }
+
 // hasBufferedEvent reports whether another event can be read without blocking.
 func (r *sseReader) hasBufferedEvent() bool {
 	buffered, err := r.in.Peek(r.in.Buffered())
@@ -117,6 +129,9 @@
 			}
 			return event, err
 		}
+		if r.useless += len(line) + 1; r.useless > maxUselessBytes {
+			return event, cutEvent(errUseless)
+		}
 		begun = len(line) > 0 && (begun || line[0] != ':')
 		switch {
 		case len(line) == 0:
