Bound the memory of all bodies of callers that a router holds

Cause: as for answers, each body had a bound, and all of them together had none. Each attempt also copied its body to write it.

Evidence: 48 callers with bodies of 4 MiB, the limit of the configuration, take a router with 134 MiB to 284 MiB.

Change: bodies of requests in progress have an eighth of the router's memory, by pkg/memory, with workspaces as sources. A request whose body names its length is rejected before that is read if there is no memory for it: 503, Retry-After, not run. Of accounts of the same size the one that is to grow goes first. Long bodies are written without a copy.

--- a/internal/conns/call.go
+++ b/internal/conns/call.go
@@ -25,7 +25,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   memory.Blocks
 }
 
 // errors of an exchange.
@@ -97,7 +97,7 @@
 	k := &Call{pool: p, conn: c, written: make(chan error, 1)}
 	k.memory = p.answers.Open(c.address, k.evict)
 	k.stop = context.AfterFunc(ctx, k.Abort)
-	if len(r.Body) <= inlineBody {
+	if r.Body.Size() <= inlineBody {
 		k.written <- c.write(r)
 	} else {
 		go k.run(r)
@@ -110,16 +110,25 @@
 
 func (c *Conn) write(r *Request) error {
 	var head bytes.Buffer
-	head.Grow(512 + len(r.Body))
+	size := r.Body.Size()
+	head.Grow(512 + min(size, inlineBody))
 	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(r.Body))
+	if size > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		fmt.Fprintf(&head, "Content-Length: %d\r\n", size)
 	}
 	if err := r.Header.Write(&head); err != nil {
 		return err
 	}
 	head.WriteString("\r\n")
-	head.Write(r.Body)
+	if size > inlineBody {
+		// The body is not copied: it may be long.
+		parts := append(net.Buffers{head.Bytes()}, r.Body...)
+		_, err := parts.WriteTo(c.Conn)
+		return err
+	}
+	if _, err := r.Body.WriteTo(&head); err != nil {
+		return err
+	}
 	_, err := c.Write(head.Bytes())
 	return err
 }
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"poplarbend.example/poplar/pkg/memory"
 )
 
 // server is an upstream whose answers a test writes byte by byte.
@@ -47,7 +49,7 @@
 	now := time.Now()
 	c, err := p.Get(t.Context(), s.address(), now.Add(time.Second), time.Time{})
 	assert.NilError(t, err)
-	k := p.Send(t.Context(), c, &Request{Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body")})
+	k := p.Send(t.Context(), c, &Request{Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"Id": {id}}, Body: memory.Blocks{[]byte("body")}})
 	if reply != nil {
 		reply(nil)
 	}
@@ -187,7 +189,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	c, err := p.Get(ctx, s.address(), time.Now().Add(time.Second), time.Time{})
 	assert.NilError(t, err)
-	k := p.Send(ctx, c, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 8<<20)})
+	k := p.Send(ctx, c, &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: memory.Blocks{make([]byte, 8<<20)}})
 	upstream := <-s.accepted
 	cancel()
 	_, err = k.Answer(http.MethodPost, func(*http.Response) bool { return true })
--- a/internal/node/roles.go
+++ b/internal/node/roles.go
@@ -58,6 +58,8 @@
 	// answerPart is the part of a router's memory that answers of upstreams may take. The
 	// runtime may take as much again before it collects what is left of them.
 	answerPart = 0.125
+	// bodyPart is the same for bodies of callers' requests.
+	bodyPart = 0.125
 )
 
 // quietLog drops what net/http says of connections that callers broke.
@@ -106,7 +108,8 @@
 			Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatSpan,
 		},
 		EventLag: s.Lag, Share: s.Share, MaxCallers: int(callerPart * float64(s.Memory) / callerMemory), AnswerMemory: int64(answerPart * float64(s.Memory)),
-		ParsePlan: parts.Read, Dialect: parts.Dialect, Log: p.log, Vars: p.vars,
+		BodyMemory: int64(bodyPart * float64(s.Memory)),
+		ParsePlan:  parts.Read, Dialect: parts.Dialect, Log: p.log, Vars: p.vars,
 	}, p.pool)}
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"hash/maphash"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -44,7 +44,7 @@
 	route     *plan.Route
 	workspace *plan.Workspace // invariant: nil without a known API key
 	service   poplar.Service
-	body      []byte
+	body      memory.Blocks
 	start     time.Time
 	deadline  time.Time
 
@@ -60,7 +60,8 @@
 	headerWritten bool      // invariant: true once the response header was written
 	firstByteAt   time.Time
 	events        int
-	lastEventID   string       // invariant: id of the last event that was delivered
+	lastEventID   string // invariant: id of the last event that was delivered
+	bodyMemory    *memory.Account
 	answers       []heldAnswer // whole answers; freed at the end of the exchange
 	fallback      *response    // invariant: failure response of an upstream, delivered if no retry succeeds
 	upstream      *upstream
@@ -82,7 +83,7 @@
 	p.openRequests.Add(1)
 	defer p.openRequests.Add(-1)
 	x := &exchange{p: p, w: w, r: r, view: p.view.Load(), start: time.Now(), tried: map[*upstream]bool{}}
-	defer x.freeAnswers()
+	defer x.freeMemory()
 	err := x.prepare()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
@@ -103,8 +104,10 @@
 	account *memory.Account
 }
 
-// freeAnswers gives the memory of whole answers back.
-func (x *exchange) freeAnswers() {
+// freeMemory gives the memory of the body and of whole answers back. The blocks of the body
+// are not used again: an attempt that was given up may still write them.
+func (x *exchange) freeMemory() {
+	x.bodyMemory.Close()
 	for _, h := range x.answers {
 		h.body.Free()
 		h.account.Close()
@@ -163,11 +166,20 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	control := http.NewResponseController(x.w)
+	var evicted atomic.Bool
+	x.bodyMemory = x.p.bodies.Open(x.bodySource(), func() {
+		evicted.Store(true)
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+	})
+	body, err := x.bodyMemory.ReadReserved(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
 	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
+	case errors.As(err, &large), errors.Is(err, memory.ErrTooLong):
 		return poplar.Fail(poplar.StepParse, poplar.CodeLarge, err).Ran(poplar.RunNo)
+	case evicted.Load(), errors.Is(err, memory.ErrFull), err == nil && !x.bodyMemory.Seal():
+		x.w.Header().Set("Connection", "close") // the rest of the body is not read
+		return poplar.Fail(poplar.StepParse, poplar.CodeBusy, memory.ErrFull).Ran(poplar.RunNo).After(x.start.Add(retryDelay))
 	case err != nil:
 		return poplar.Fail(poplar.StepParse, poplar.CodeCancelled, err).Ran(poplar.RunNo)
 	}
@@ -175,6 +187,16 @@
 	return nil
 }
 
+// bodySource returns whom the body of the request comes from: the workspace, or the host
+// of a caller without one.
+func (x *exchange) bodySource() string {
+	if x.workspace != nil {
+		return string(x.workspace.Name)
+	}
+	host, _, _ := strings.Cut(x.r.RemoteAddr, ":")
+	return "@" + host
+}
+
 // admit rejects requests that crashed upstreams, counts the request, and
 // reserves its tokens.
 func (x *exchange) admit() *poplar.Error {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -24,6 +24,7 @@
 	// Answers is the memory of answers that are not delivered yet, in bytes, and Evicted the
 	// number of answers that were given up to make room.
 	Answers int64 `json:"answers"`
+	Bodies  int64 `json:"bodies"` // memory of bodies of requests in progress, in bytes
 	Evicted int64 `json:"evicted"`
 }
 
@@ -33,7 +34,7 @@
 	s := status{
 		Upstreams: map[string]int{}, Routers: len(v.routers), Fresh: p.fresh(time.Now()), Open: p.openRequests.Load(), Ready: p.Ready(),
 		Callers: p.callers.Load(), Overloaded: p.dials.overloaded(time.Now()), Busy: p.cpu.busy.Load(),
-		Answers: p.answers.Used(), Evicted: p.answers.Evicted(),
+		Answers: p.answers.Used(), Bodies: p.bodies.Used(), Evicted: p.answers.Evicted(),
 	}
 	if v.table != nil {
 		s.Revision = v.table.Plan().Revision
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -49,8 +49,11 @@
 	sweepPeriod = time.Second
 )
 
-// defaultAnswerMemory is the memory of answers where the settings name none, in bytes.
-const defaultAnswerMemory = 64 << 20
+// Memory of answers and bodies where the settings name none, in bytes.
+const (
+	defaultAnswerMemory = 64 << 20
+	defaultBodyMemory   = 64 << 20
+)
 
 // RetryBudget limits the retries that the fleet sends to one service.
 type RetryBudget struct {
@@ -78,6 +81,8 @@
 	// AnswerMemory is the most memory of answers of upstreams that are not delivered yet, in
 	// bytes, or 0 for defaultAnswerMemory.
 	AnswerMemory int64
+	// BodyMemory is the same for bodies of callers' requests in progress.
+	BodyMemory int64
 	// ParsePlan parses a configuration document.
 	ParsePlan func(document []byte) (*plan.Plan, error)
 	Dialect   poplar.Dialect
@@ -91,7 +96,8 @@
 	log      *log.Logger
 	pool     *peer.Pool
 	conns    *conns.Pool
-	answers  *memory.Limit
+	answers  *memory.Limit // by address of the upstream
+	bodies   *memory.Limit // by workspace
 	model    place.CostModel
 	wallet   *wallet.Wallet
 	metrics  metrics
@@ -148,6 +154,7 @@
 		pool:         pool,
 		conns:        conns.NewPool(answers),
 		answers:      answers,
+		bodies:       memory.NewLimit(cmp.Or(s.BodyMemory, defaultBodyMemory)),
 		model:        place.DefaultCostModel(),
 		wallet:       wallet.NewWallet(s.Holder, wallet.DefaultPolicy(), time.Now()),
 		metrics:      newMetrics(s.Vars),
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -83,7 +83,7 @@
 		h.Write(length[:])
 		h.Write([]byte(part))
 	}
-	h.Write(x.body)
+	_, _ = x.body.WriteTo(h) // writes to a hash never fail
 	return poison.Fingerprint(h.Sum64())
 }
 
--- a/pkg/memory/limit.go
+++ b/pkg/memory/limit.go
@@ -92,7 +92,7 @@
 		return nil, nil, nil
 	}
 	for l.used-l.leaving > l.most && a.state == growing {
-		v := l.largest()
+		v := l.largest(a)
 		l.unlist(v)
 		v.state = evicted
 		l.evicted++
@@ -139,8 +139,8 @@
 }
 
 // largest returns the largest account of the source whose growing accounts hold most. There
-// must be one.
-func (l *Limit) largest() *Account {
+// must be one. Of accounts of the same size it prefers the given one, which is to grow.
+func (l *Limit) largest(next *Account) *Account {
 	var found *Account
 	most := int64(0)
 	for _, accounts := range l.open {
@@ -148,7 +148,7 @@
 		var largest *Account
 		for a := range accounts {
 			sum += a.counted
-			if largest == nil || a.counted > largest.counted {
+			if largest == nil || a.counted > largest.counted || a == next && a.counted == largest.counted {
 				largest = a
 			}
 		}
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -198,6 +198,23 @@
 	}
 }
 
+// TestReadReserved reads an item for which there is memory, and one for which there is none:
+// of that nothing is read.
+func TestReadReserved(t *testing.T) {
+	l := NewLimit(100_000)
+	a := l.Open("s", nil)
+	blocks, err := a.ReadReserved(strings.NewReader(strings.Repeat("x", 60_000)), 60_000, 1<<20)
+	assert.NilError(t, err)
+	assert.Equal(t, blocks.Size(), 60_000)
+	assert.Equal(t, l.Used(), int64(60_000-Allowance))
+	b := l.Open("s", nil)
+	_, err = b.ReadReserved(iotest.ErrReader(io.ErrNoProgress), 60_000, 1<<20)
+	assert.ErrorIs(t, err, ErrFull)
+	assert.Assert(t, !b.Close() && a.Close())
+	_, err = l.Open("s", nil).ReadReserved(strings.NewReader("xyz"), -1, 2)
+	assert.ErrorIs(t, err, ErrTooLong)
+}
+
 // TestReadFails covers items that are too long, cut, or for which there is no memory.
 func TestReadFails(t *testing.T) {
 	endless := iotest.HalfReader(zeros{})
--- a/pkg/memory/read.go
+++ b/pkg/memory/read.go
@@ -24,6 +24,9 @@
 	if length > most {
 		return nil, ErrTooLong
 	}
+	if length == 0 {
+		return nil, nil
+	}
 	var blocks Blocks
 	total := int64(0)
 	for size := int64(firstBlock); ; size = min(2*size, lastBlock) {
@@ -54,6 +57,18 @@
 	}
 }
 
+// ReadReserved is Read for an item whose length is known, if it is: there is memory for all
+// of it before any of it is read, or ErrFull.
+func (a *Account) ReadReserved(r io.Reader, length, most int64) (Blocks, error) {
+	if length < 0 || length > most {
+		return a.Read(r, length, most)
+	}
+	if err := a.Grow(length); err != nil {
+		return nil, err
+	}
+	return (*Account)(nil).Read(r, length, most)
+}
+
 // Join returns the bytes in one piece and frees the blocks. The account counts both until
 // then.
 func (a *Account) Join(b Blocks) ([]byte, error) {
