Bound the memory of all bodies of callers that internal/edge holds

Cause: as in internal/proxy, each body had a bound and all of them together had none.

Change: one limit for the bodies of open requests, 64 MiB and at least twice the limit of one body. A request for which there is no memory is rejected as busy, not run, with a time at which to come back.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -15,6 +15,7 @@
 	"poplarbend.example/poplar/internal/conf"
 	"poplarbend.example/poplar/pkg/admit"
 	"poplarbend.example/poplar/pkg/fair"
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/poison"
 )
 
@@ -44,6 +45,7 @@
 	keyed  bool       // true if the caller sent an idempotency key
 	id     string     // request id sent to upstreams
 	body   []byte
+	memory *memory.Account // of the body; nil before it is read
 	digest uint64
 	parts  []poison.Fingerprint // of the prompt, that other requests may share
 	op     operation
@@ -131,7 +133,9 @@
 
 func (c *call) readBody(w http.ResponseWriter) ([]byte, error) {
 	_, span := c.startSpan(poplar.StepParse)
-	body, err := readBody(w, c.request, c.edge.conf.Limits, c.arrived)
+	control := http.NewResponseController(w)
+	c.memory = c.edge.bodies.Open(string(c.caller.Workspace().Name()), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	body, err := readBody(w, c.request, c.edge.conf.Limits, c.memory, c.arrived)
 	endSpan(span, err)
 	return body, err
 }
--- a/internal/edge/completions.go
+++ b/internal/edge/completions.go
@@ -37,6 +37,7 @@
 	defer e.metrics.open.Add(-1)
 	defer e.open.Add(-1)
 	c, err := e.begin(w, r)
+	defer func() { c.memory.Close() }()
 	if err == nil {
 		c.op, err = decode(c)
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -83,6 +83,7 @@
 	retries   *retryBudgets
 	crashes   *crashTracker
 	responses *memory.Limit // of what is kept of responses, by upstream
+	bodies    *memory.Limit // of the bodies of open requests, by workspace
 	metrics   *metrics
 }
 
@@ -107,6 +108,8 @@
 	config.Roster.Obey(config.Policy)
 	e.conf, e.metrics = config, newMetrics(config.Vars)
 	e.responses = memory.NewLimit(config.Bounds.MaxBufferedBytes)
+	e.bodies = memory.NewLimit(max(config.Bounds.MaxRequestBytes, 2*config.Limits.Body))
+	config.Vars.Func("bodies", func() any { return e.bodies.Used() })
 	config.Vars.Func("buffered", func() any { return e.responses.Used() })
 	config.Vars.Func("evicted", func() any { return e.responses.Evicted() })
 	e.aborted, e.abort = context.WithCancelCause(context.Background())
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -25,6 +25,9 @@
 	// MaxBufferedBytes is the maximum size in bytes of what is kept of all responses of
 	// upstreams: of those that are not streamed, and of events that are not forwarded yet.
 	MaxBufferedBytes int64 `json:"buffer"`
+	// MaxRequestBytes is the same for the bodies of open requests. It is at least twice the
+	// size that one body may have.
+	MaxRequestBytes int64 `json:"requests"`
 	// Stall is the longest silence allowed to an upstream. An upstream that still
 	// renews its announcement may be silent for as long as the rank allows for a
 	// first token, since it may have queued the request behind more urgent ones.
@@ -44,6 +47,7 @@
 func (b Bounds) withDefaults() Bounds {
 	b.MaxResponseBytes = orDefault(b.MaxResponseBytes, 8<<20)
 	b.MaxBufferedBytes = orDefault(b.MaxBufferedBytes, 64<<20)
+	b.MaxRequestBytes = orDefault(b.MaxRequestBytes, 64<<20)
 	b.Stall = orDefault(b.Stall, 10*time.Second)
 	b.Wait = orDefault(b.Wait, 30*time.Second)
 	b.Grace = orDefault(b.Grace, 5*time.Second)
--- a/internal/edge/memory_test.go
+++ b/internal/edge/memory_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
 	"gotest.tools/v3/assert"
 
 	"poplarbend.example/poplar"
@@ -172,3 +173,75 @@
 		assert.Check(t, response.StatusCode >= 400, "status %d", response.StatusCode)
 	}
 }
+
+// TestLongBodiesShareMemory guards against callers whose bodies are each within the limit and
+// together are not. One for which there is no memory must be rejected at once as not run, with
+// a time at which to come back, and short ones must be served beside.
+func TestLongBodiesShareMemory(t *testing.T) {
+	const limit, size, requests = 1 << 20, 400 << 10, 12
+	for _, chunked := range []bool{false, true} {
+		t.Run(fmt.Sprintf("chunked=%t", chunked), func(t *testing.T) {
+			h := newHarness(t, 1_000_000)
+			h.bounds.MaxRequestBytes = limit
+			h.limits = defaultLimits
+			h.limits.Body = limit / 2
+			e, s := h.startDaemon("a")
+			h.startService("s")
+			watch := &memoryWatch{limit: e.bodies, stop: make(chan struct{}), most: make(chan int64)}
+			go watch.run()
+			var done sync.WaitGroup
+			var served, rejected atomic.Int64
+			for range requests {
+				done.Go(func() {
+					switch h.sendLong(t, s, size, chunked) {
+					case http.StatusServiceUnavailable:
+						rejected.Add(1)
+					case 0: // the connection was closed while the body was still sent
+					case http.StatusOK:
+						served.Add(1)
+					default:
+						t.Error("a long request was neither served nor rejected")
+					}
+				})
+				done.Go(func() {
+					response, err := h.send(t.Context(), s, "GET", "/svc/desk/status/1", "")
+					if assert.Check(t, err) {
+						assert.Check(t, response.StatusCode == http.StatusOK)
+						response.Body.Close()
+					}
+				})
+			}
+			done.Wait()
+			close(watch.stop)
+			most := <-watch.most
+			t.Logf("at most %d bytes, %d served, %d rejected", most, served.Load(), rejected.Load())
+			assert.Assert(t, most <= limit, "%d bytes", most)
+			eventually(t, "no memory is held", func() bool { return e.bodies.Used() == 0 })
+			assert.Equal(t, h.sendLong(t, s, size, chunked), http.StatusOK)
+		})
+	}
+}
+
+// sendLong sends a long request and returns its status, or 0 without a response.
+func (h *harness) sendLong(t *testing.T, s *httptest.Server, size int, chunked bool) int {
+	var body io.Reader = strings.NewReader(strings.Repeat("x", size))
+	if chunked {
+		body = io.MultiReader(body) // its length is not known
+	}
+	req, err := http.NewRequestWithContext(t.Context(), "POST", s.URL+"/svc/desk/claims", body)
+	if !assert.Check(t, err) {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("Idempotency-Key", uuid.NewString())
+	response, err := h.client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusServiceUnavailable {
+		assert.Check(t, response.Header.Get("Retry-After") != "")
+		checkProblem(t, response, "busy no")
+	}
+	return response.StatusCode
+}
--- a/internal/edge/prompt.go
+++ b/internal/edge/prompt.go
@@ -12,6 +12,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/conf"
+	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/poison"
 )
 
@@ -149,8 +150,9 @@
 	return min(max(part, r.cost(r.promptTokens, 1)), r.maxCost())
 }
 
-// readBody reads the body of r within the limits for size and time.
-func readBody(w http.ResponseWriter, r *http.Request, l conf.Limits, now time.Time) ([]byte, error) {
+// readBody reads the body of r within the limits for size and time, and within the memory
+// for all bodies.
+func readBody(w http.ResponseWriter, r *http.Request, l conf.Limits, account *memory.Account, now time.Time) ([]byte, error) {
 	if r.ContentLength > l.Body {
 		return nil, refuse(poplar.StepParse, poplar.CodeLarge,
 			"the body has %d bytes, the limit is %d", r.ContentLength, l.Body)
@@ -161,8 +163,9 @@
 	control := http.NewResponseController(w)
 	// httptest.ResponseRecorder supports no deadline; the size limit still applies.
 	_ = control.SetReadDeadline(now.Add(l.Read))
-	body, err := readAll(http.MaxBytesReader(w, r.Body, l.Body), r.ContentLength)
-	if err == nil {
+	body, err := readAll(http.MaxBytesReader(w, r.Body, l.Body), r.ContentLength, l.Body, account)
+	full := !account.Seal() || errors.Is(err, memory.ErrFull)
+	if err == nil && !full {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
@@ -170,16 +173,26 @@
 	// the body either.
 	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case full:
+		return nil, refuse(poplar.StepParse, poplar.CodeBusy, "%w", memory.ErrFull).After(now.Add(maxWait))
+	case errors.As(err, &tooLarge):
 		return nil, refuse(poplar.StepParse, poplar.CodeLarge, "the body has more than %d bytes", l.Body)
 	}
 	return nil, refuse(poplar.StepParse, poplar.CodeInvalid, "the body is incomplete")
 }
 
 // readAll reads r to its end, with a single allocation if the length is known.
-func readAll(r io.Reader, length int64) ([]byte, error) {
+func readAll(r io.Reader, length, limit int64, account *memory.Account) ([]byte, error) {
 	if length < 0 {
-		return io.ReadAll(r)
+		blocks, err := account.Read(r, length, limit)
+		if err != nil {
+			return nil, err
+		}
+		return account.Join(blocks)
+	}
+	if err := account.Grow(length); err != nil {
+		return nil, err
 	}
 	body := make([]byte, length)
 	if _, err := io.ReadFull(r, body); err != nil {
