Test that an unread answer gives its memory back

Cause: the bound on the time that a caller has to read a long answer had no test, and its code was inline.

Change: writeBody has it; the test plays a caller that does not read.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -436,19 +436,22 @@
 	}
 	x.copyHeader(resp.header)
 	x.writeHeader(resp.status)
-	if resp.body.Size() <= memory.Allowance {
-		resp.body.WriteTo(x.w)
-		return
-	}
-	// A caller that does not read must not keep the memory of a long answer.
-	control := http.NewResponseController(x.w)
-	limit := time.Now().Add(minWriteTime)
-	if limit.Before(x.deadline) {
-		limit = x.deadline
-	}
-	_ = control.SetWriteDeadline(limit)
-	resp.body.WriteTo(x.w)
-	_ = control.SetWriteDeadline(time.Time{})
+	x.writeBody(resp.body)
+}
+
+// writeBody writes the body of a buffered response. A caller that does not read must not
+// keep the memory of a long one.
+func (x *exchange) writeBody(body memory.Blocks) {
+	if body.Size() > memory.Allowance {
+		limit := time.Now().Add(minWriteTime)
+		if limit.Before(x.deadline) {
+			limit = x.deadline
+		}
+		control := http.NewResponseController(x.w)
+		_ = control.SetWriteDeadline(limit)
+		defer control.SetWriteDeadline(time.Time{}) //nolint:errcheck // the connection has ended then
+	}
+	_, _ = body.WriteTo(x.w) // a failed write means that the caller has left
 }
 
 // copyHeader copies the end-to-end header fields of the upstream's response.
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -1,8 +1,13 @@
 package proxy
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -38,9 +43,7 @@
 			close(watch.stop)
 			most := <-watch.most
 			assert.Assert(t, most <= limit, "%d bytes", most)
-			for end := time.Now().Add(testTimeout); h.proxy.answers.Used() > 0; time.Sleep(time.Millisecond) {
-				assert.Assert(t, time.Now().Before(end), "%d bytes are not given back", h.proxy.answers.Used())
-			}
+			h.awaitMemory(func(used int64) bool { return used == 0 })
 		})
 	}
 }
@@ -79,3 +82,33 @@
 		assert.Equal(t, h.proxy.answers.Used(), int64(0))
 	}
 }
+
+// TestUnreadAnswerIsDropped guards against a caller that does not read and keeps the memory
+// of a long answer. Its deadline ends the answer, which must not look complete.
+func TestUnreadAnswerIsDropped(t *testing.T) {
+	const size = maxResponseBody
+	h := newHarness(t, script{"a": {fmt.Sprint("long ", size)}})
+	conn, err := net.Dial("tcp4", h.server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = fmt.Fprint(conn, "POST /unsafe/x HTTP/1.1\r\nHost: 127.0.0.1\r\nId: 1\r\nKey: k\r\nWait: 500\r\nContent-Length: 0\r\n\r\n")
+	assert.NilError(t, err)
+	h.awaitMemory(func(used int64) bool { return used > size/2 })
+	h.awaitMemory(func(used int64) bool { return used == 0 })
+	assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(4<<20)) // read fast what was sent
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && n < size, "%d bytes, %v", n, err)
+}
+
+// awaitMemory waits until the memory of answers is as expected.
+func (h *harness) awaitMemory(ok func(used int64) bool) {
+	h.t.Helper()
+	for end := time.Now().Add(testTimeout); !ok(h.proxy.answers.Used()); time.Sleep(time.Millisecond) {
+		assert.Assert(h.t, time.Now().Before(end), "%d bytes are held", h.proxy.answers.Used())
+	}
+}
