Do not let accounts that wait for memory wake each other

Cause: an account that had to wait undid its growth in the way that memory is given back, which wakes all that wait.

Change: only Shrink and Close wake those that wait. An account that was closed does not shrink any more. The source of a body without a workspace is the caller's host also for IPv6.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/maphash"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -193,8 +194,11 @@
 	if x.workspace != nil {
 		return string(x.workspace.Name)
 	}
-	host, _, _ := strings.Cut(x.r.RemoteAddr, ":")
-	return "@" + host
+	host, _, err := net.SplitHostPort(x.r.RemoteAddr)
+	if err != nil {
+		return x.r.RemoteAddr
+	}
+	return "@" + host // no name of a workspace
 }
 
 // admit rejects requests that crashed upstreams, counts the request, and
--- a/pkg/memory/account.go
+++ b/pkg/memory/account.go
@@ -42,7 +42,7 @@
 	return nil
 }
 
-// Shrink takes n bytes away.
+// Shrink takes n bytes away. It does nothing once the account is closed.
 func (a *Account) Shrink(n int64) {
 	if a == nil || a.limit == nil {
 		return
@@ -54,10 +54,9 @@
 	}
 	a.limit.mu.Lock()
 	defer a.limit.mu.Unlock()
-	if a.state == evicted {
-		a.limit.leaving -= less
+	if a.state != closed {
+		a.limit.giveBack(a, less)
 	}
-	a.limit.add(a, -less)
 }
 
 // Seal keeps an item that is whole from being evicted. It reports false if it already was.
@@ -83,11 +82,8 @@
 	}
 	a.limit.mu.Lock()
 	defer a.limit.mu.Unlock()
-	wasEvicted := a.state == evicted
-	if wasEvicted {
-		a.limit.leaving -= a.counted
-	}
-	a.limit.add(a, -a.counted)
+	kept := a.state != evicted
+	a.limit.giveBack(a, a.counted)
 	a.state = closed
-	return !wasEvicted
+	return kept
 }
--- a/pkg/memory/limit.go
+++ b/pkg/memory/limit.go
@@ -125,7 +125,15 @@
 	default:
 		l.open[a.source][a] = struct{}{}
 	}
-	if n < 0 && l.released != nil {
+}
+
+// giveBack takes n bytes from an account, and wakes those that wait for memory.
+func (l *Limit) giveBack(a *Account, n int64) {
+	if a.state == evicted {
+		l.leaving -= n
+	}
+	l.add(a, -n)
+	if n > 0 && l.released != nil {
 		close(l.released)
 		l.released = nil
 	}
--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
@@ -198,6 +201,32 @@
 	}
 }
 
+// TestWaitingIsQuiet lets two accounts wait for memory that a third one keeps. They must not
+// wake each other.
+func TestWaitingIsQuiet(t *testing.T) {
+	l := NewLimit(100_000)
+	stuck := l.Open("stuck", func() {})
+	assert.NilError(t, stuck.Grow(90_000))
+	var waiting sync.WaitGroup
+	for _, name := range []string{"a", "b"} {
+		a := l.Open(name, func() {})
+		assert.NilError(t, a.Grow(Allowance+1))
+		waiting.Go(func() { assert.Check(t, errors.Is(a.Grow(20_000), ErrFull)) })
+	}
+	for l.Evicted() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(releaseTime / 4) // both wait by now
+	l.mu.Lock()
+	before := l.released
+	l.mu.Unlock()
+	time.Sleep(releaseTime / 4)
+	l.mu.Lock()
+	assert.Check(t, before != nil && l.released == before)
+	l.mu.Unlock()
+	waiting.Wait()
+}
+
 // TestReadReserved reads an item for which there is memory, and one for which there is none:
 // of that nothing is read.
 func TestReadReserved(t *testing.T) {
