--- a/pkg/memory/memory_test.go
+++ b/pkg/memory/memory_test.go
@@ -15,8 +15,12 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"poplarbend.example/poplar/internal/trial"
 )
 
+func TestMain(m *testing.M) { os.Exit(trial.Run(m)) }
+
 // script is a case of testdata/limits.txt.
 type script struct {
 	t        *testing.T
