Store the timer of a stall before it may fire

Cause: startStallTimer stored the timer after it was started, and the check that it runs uses it.

Evidence: the race detector, in a test of answers without end beside load; with a stall time of a nanosecond (a trial) a nil pointer.

Change: the timer is stored first and started then.

Result: TestStallTimerFiresEarly fails before, with the race detector, and passes in three of three runs.

--- a/internal/edge/failure_test.go
+++ b/internal/edge/failure_test.go
@@ -394,3 +394,15 @@
 	assert.Equal(t, leaving.Started(), uint64(1))
 	assert.Equal(t, remaining.Started(), uint64(20))
 }
+
+// TestStallTimerFiresEarly guards against a check for a stall that runs before its timer is
+// known to it. It needs the race detector.
+func TestStallTimerFiresEarly(t *testing.T) {
+	h := newHarness(t, 1000)
+	h.bounds.Stall = time.Millisecond
+	_, s := h.startDaemon("a")
+	h.startEngine(fake.Settings{Name: "e", Step: 5 * time.Millisecond})
+	for range 20 {
+		assert.Assert(t, readStream(h.request(s, "POST", "/v1/completions", completionBody(3)).Body).done)
+	}
+}
--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -220,7 +220,9 @@
 func (h *hop) startStallTimer() {
 	h.recordActivity()
 	stall := h.call.edge.conf.Bounds.Stall
-	h.stallTimer = time.AfterFunc(stall, h.checkStall)
+	// checkStall uses the timer, so the timer may fire only once it is stored.
+	h.stallTimer = time.AfterFunc(time.Hour, h.checkStall)
+	h.stallTimer.Reset(stall)
 }
 
 // checkStall ends the hop if the upstream has been silent for too long. While
