Log how far a learner holds the log

The line about the voters gave the number of learners only, so a daemon on a new disk that is never promoted could not be told from one that is away. The leader repeats the line every three seconds while there are learners.

--- a/internal/core/ballots.go
+++ b/internal/core/ballots.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -16,11 +17,11 @@
 	leader quorum.Member
 	voters []quorum.Member
 	heard  int
-	nextAt time.Time // invariant: while there is no leader, the time of the next line
+	nextAt time.Time // invariant: while there is no leader or a learner waits, the time of the next line
 }
 
 // voterLogPeriod is the time between two lines about the voters while the log has
-// no leader.
+// no leader, or has a learner that is not promoted.
 const voterLogPeriod = 3 * time.Second
 
 func (c *Core) logBallot(b quorum.Ballot) {
@@ -31,7 +32,7 @@
 
 // logVoters writes a line when the leader changes, and one about the voters when
 // they change, when the leader hears from more or fewer of them, and every
-// voterLogPeriod while there is no leader.
+// voterLogPeriod while there is no leader, and at the leader while there are learners.
 func (c *Core) logVoters(last *loggedVoters) {
 	s, now := c.voter.Load().Status(), c.settings.Clock.Now()
 	voters, heard := s.Members().Voters, heardVoters(s, now)
@@ -40,9 +41,10 @@
 		last.leader = s.Leader()
 		c.settings.Log.Info("leader", "leader", last.leader.String(), "term", uint64(s.Term()), "commit", uint64(s.Commit()), "voters", len(voters))
 	}
-	leads := s.Role() == quorum.RoleLeader && heard != last.heard
-	lost := s.Leader() == (quorum.Member{}) && !now.Before(last.nextAt)
-	if !changed && !leads && !lost {
+	leads := s.Role() == quorum.RoleLeader
+	waits := s.Leader() == (quorum.Member{}) || leads && len(s.Members().Learners) > 0
+	due := changed || leads && heard != last.heard || waits && !now.Before(last.nextAt)
+	if !due {
 		return
 	}
 	last.voters, last.heard, last.nextAt = voters, heard, now.Add(voterLogPeriod)
@@ -51,7 +53,17 @@
 		names[i] = v.String()
 	}
 	c.settings.Log.Info("voters", "voters", names, "heard", heard, "self", s.Self().String(), "votes", s.Members().IsVoter(s.Self()),
-		"learners", len(s.Members().Learners), "term", uint64(s.Term()), "role", string(s.Role()))
+		"learners", learners(s), "commit", uint64(s.Commit()), "term", uint64(s.Term()), "role", string(s.Role()))
+}
+
+// learners returns the learners for the log. At the leader each has the index up to which
+// it holds the log, which tells one that cannot keep up from one that is away.
+func learners(s voter.Status) []string {
+	list := []string{}
+	for _, l := range s.Members().Learners {
+		list = append(list, fmt.Sprintf("%v match %d", l, s.Match(l)))
+	}
+	return list
 }
 
 // heardVoters returns the number of voters that sent a message within two election
--- a/internal/voter/status.go
+++ b/internal/voter/status.go
@@ -19,6 +19,7 @@
 	members  quorum.Membership
 	contact  map[quorum.Member]time.Time
 	heard    map[quorum.Member]time.Time
+	match    map[quorum.Member]poplar.Index // invariant: of the learners, at the leader
 	caughtUp bool
 	tail     []quorum.Entry // invariant: the entries after applied
 	lastTerm poplar.Term
@@ -55,6 +56,10 @@
 // time. Followers send each other messages only in elections.
 func (s Status) Heard(peer quorum.Member) time.Time { return s.heard[peer] }
 
+// Match returns the index up to which a learner's log is known to match the leader's. Only
+// a leader knows it.
+func (s Status) Match(learner quorum.Member) poplar.Index { return s.match[learner] }
+
 // CaughtUp reports whether the state machine has applied what the leader had committed
 // when the present session of contact with it began (see quorum.Machine.LeaderSession).
 func (s Status) CaughtUp() bool { return s.caughtUp }
@@ -100,6 +105,12 @@
 				s.contact[peer] = at
 			}
 		}
+		if len(s.members.Learners) > 0 {
+			s.match = map[quorum.Member]poplar.Index{}
+		}
+		for _, learner := range s.members.Learners {
+			s.match[learner] = m.MatchIndex(learner)
+		}
 	}
 	s.heard = maps.Clone(v.heard)
 	v.status.Store(s)
