Promote a learner that keeps up with a busy log

Users saw a log without a leader while four of five daemons ran, on machines whose disks differ. A daemon on a new disk is a learner until it holds all committed entries, and its former identity is removed and itself promoted only then. While entries are committed all the time, a learner whose disk is slower than those of a majority never holds all of them at one moment: it stayed a learner for as long as the load lasted, with its former identity among the voters or, worse, removed. The next losses left too few voters.

A leader now counts rounds of catching up: a learner keeps up if it holds what was committed an election timeout ago. Safety does not depend on the lag of a promoted learner; only commits may wait for it.

--- a/internal/voter/config.go
+++ b/internal/voter/config.go
@@ -44,7 +44,7 @@
 	Join bool
 	// TargetVoters is the number of voters up to which joining members are promoted.
 	// Once there are that many, a silent voter is replaced by a learner that
-	// holds all committed entries. With 0, only a daemon on a new disk is admitted, in
+	// keeps up with the log. With 0, only a daemon on a new disk is admitted, in
 	// place of its earlier incarnation.
 	TargetVoters int
 	Files        poplar.Files
--- a/internal/voter/join.go
+++ b/internal/voter/join.go
@@ -121,8 +121,7 @@
 		members: m.Members(),
 		joiners: joiners,
 		voters:  v.config.TargetVoters,
-		commit:  m.Commit(),
-		match:   m.MatchIndex,
+		keepsUp: m.KeepsUp,
 		silent: func(peer quorum.Member) bool {
 			return peer != v.founder.self && m.LastContact(peer).Before(v.silenceDeadline())
 		},
--- a/internal/voter/repair.go
+++ b/internal/voter/repair.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/pkg/quorum"
 )
 
@@ -13,19 +12,18 @@
 // replaces voters that stay silent.
 //
 // A daemon on a new disk is a different member. The leader adds it as a
-// learner, removes the old incarnation once the new one holds all committed
-// entries, and then promotes the new one. Until its removal the old incarnation
-// still counts as a voter, so the number of voters does not drop before the new
+// learner, removes the old incarnation once the new one keeps up with the log,
+// and then promotes the new one. Until its removal the old incarnation still
+// counts as a voter, so the number of voters does not drop before the new
 // incarnation is able to replace it.
 
 // membershipView is the input of the repair decision.
 type membershipView struct {
 	members quorum.Membership
-	joiners []quorum.Member // invariant: sent a hello recently and are not voters
-	voters  int             // configured number of voters to fill up to; 0 admits replacements only
-	commit  poplar.Index
+	joiners []quorum.Member          // invariant: sent a hello recently and are not voters
+	voters  int                      // configured number of voters to fill up to; 0 admits replacements only
 	silent  func(quorum.Member) bool // invariant: reports whether no message arrived for the repair time
-	match   func(quorum.Member) poplar.Index
+	keepsUp func(quorum.Member) bool // invariant: see quorum.Machine.KeepsUp
 }
 
 // nextRepair returns the next membership change, if one is due.
@@ -46,7 +44,7 @@
 	if !v.members.IsLearner(joiner) {
 		return v.admit(joiner, replaces)
 	}
-	if v.match(joiner) < v.commit {
+	if !v.keepsUp(joiner) {
 		return quorum.Change{}, false
 	}
 	if replaces {
@@ -58,8 +56,8 @@
 	return v.removeSilentVoter()
 }
 
-// removeSilentVoter returns the removal of a silent voter. A learner that holds
-// all committed entries replaces it next.
+// removeSilentVoter returns the removal of a silent voter. A learner that keeps up
+// replaces it next.
 func (v membershipView) removeSilentVoter() (quorum.Change, bool) {
 	for _, voter := range v.members.Voters {
 		if v.silent(voter) {
--- a/pkg/quorum/append.go
+++ b/pkg/quorum/append.go
@@ -30,7 +30,7 @@
 // committed and the leader has committed an entry of its own term. Otherwise two
 // memberships whose majorities do not overlap could be in use at the same time
 // (https://groups.google.com/g/raft-dev/c/t4xj6dJTP6E). The promotion of a learner
-// fails with poplar.CodeBusy until the learner has all committed entries.
+// fails with poplar.CodeBusy until the learner keeps up.
 func (m *Machine) Change(c Change) (poplar.Index, poplar.Term, error) {
 	if err := m.checkProposable(); err != nil {
 		return 0, 0, err
@@ -38,8 +38,8 @@
 	if !m.MembershipCommitted() || m.commit < m.termStart {
 		return 0, 0, proposalError(poplar.CodeBusy, "the previous membership change or the first entry of the term is not committed yet")
 	}
-	if c.Action == ActionPromote && m.MatchIndex(c.Member) < m.commit {
-		return 0, 0, proposalError(poplar.CodeBusy, "%v has only %d of %d committed entries", c.Member, m.MatchIndex(c.Member), m.commit)
+	if c.Action == ActionPromote && !m.KeepsUp(c.Member) {
+		return 0, 0, proposalError(poplar.CodeBusy, "%v has only %d of %d committed entries and does not keep up", c.Member, m.MatchIndex(c.Member), m.commit)
 	}
 	members, err := m.Members().Apply(c)
 	if err != nil {
@@ -232,6 +232,7 @@
 		return
 	}
 	p.acknowledge(min(msg.Index, m.log.last()))
+	m.advanceRound(p)
 	m.countCommit()
 	if m.role != RoleLeader {
 		return
@@ -240,6 +241,15 @@
 	m.finishTransfer()
 }
 
+// advanceRound starts the next round of catching up when the peer has ended the present one.
+func (m *Machine) advanceRound(p *progress) {
+	if p.match < p.roundEnd {
+		return
+	}
+	p.roundInTime = m.now.Before(p.roundDeadline)
+	p.startRound(m.commit, m.now.Add(m.config.ElectionTimeout))
+}
+
 // recordContact records a reply of a peer in this term.
 func (m *Machine) recordContact(p *progress, round uint64) {
 	p.contact = m.now
--- a/pkg/quorum/election.go
+++ b/pkg/quorum/election.go
@@ -158,7 +158,9 @@
 	}
 	for _, peer := range members.All() {
 		if _, ok := m.peers[peer]; !ok && peer != m.config.Self {
-			m.peers[peer] = &progress{next: next, contact: m.now}
+			p := &progress{next: next, contact: m.now}
+			p.startRound(m.commit, m.now.Add(m.config.ElectionTimeout))
+			m.peers[peer] = p
 		}
 	}
 }
--- a/pkg/quorum/machine.go
+++ b/pkg/quorum/machine.go
@@ -252,6 +252,13 @@
 	return 0
 }
 
+// KeepsUp reports whether a leader knows that the peer has all committed entries, or at most
+// an election timeout ago had all that were committed then.
+func (m *Machine) KeepsUp(peer Member) bool {
+	p, ok := m.peers[peer]
+	return ok && p.keepsUp(m.commit, m.now)
+}
+
 // Tick advances the clock of the machine and runs the timers that have expired.
 // When now is earlier than the previous time, the machine assumes that no time
 // has passed and adjusts its deadlines to the new clock. A commit index that has
--- a/pkg/quorum/progress.go
+++ b/pkg/quorum/progress.go
@@ -35,6 +35,24 @@
 	offset   int            // invariant: bytes of snapshot that the peer has received
 	resendAt time.Time      // invariant: time at which an unanswered chunk is sent again
 	resent   bool           // invariant: a chunk was sent again, so the peer may have received less than offset
+
+	roundEnd      poplar.Index // invariant: commit index at the start of the present round of catching up
+	roundDeadline time.Time    // invariant: an election timeout after the start of the round
+	roundInTime   bool         // invariant: the previous round ended before its deadline
+}
+
+// startRound starts a round of catching up, which ends when the peer has the entries up to
+// commit.
+func (p *progress) startRound(commit poplar.Index, deadline time.Time) {
+	p.roundEnd, p.roundDeadline = commit, deadline
+}
+
+// keepsUp reports whether the peer lags by no more than what is committed in an election
+// timeout (§4.2.1). All committed entries at one moment would be too much to ask: while
+// entries are committed all the time, a peer whose disk is slower than those of a majority
+// never has them.
+func (p *progress) keepsUp(commit poplar.Index, now time.Time) bool {
+	return p.match >= commit || p.roundInTime && now.Before(p.roundDeadline)
 }
 
 // acknowledge records that the peer's log matches and is durable up to index.
