Let a control daemon with a slow disk confirm configurations

A restarted router serves what a daemon confirms that has caught up with its leader. A daemon counted as caught up only at a moment at which it had applied all committed entries; while entries are committed all the time, one whose disk is slower than those of a majority never has, the same cause as for learners. What was committed when the contact with the leader began decides now, as the contract of Status.CaughtUp says.

--- a/internal/voter/status.go
+++ b/internal/voter/status.go
@@ -95,10 +95,7 @@
 		s.role, s.leader, s.term = m.Role(), m.Leader(), m.Term()
 		s.commit, s.members = m.Commit(), m.Members()
 		s.tail, s.lastTerm = m.Tail(v.applied), m.LastTerm()
-		if m.CaughtUp() && v.applied == m.Commit() {
-			v.caughtUpIn = session{m.Term(), m.LeaderSession()}
-		}
-		s.caughtUp = m.Leader() != (quorum.Member{}) && v.caughtUpIn == session{m.Term(), m.LeaderSession()}
+		s.caughtUp = v.noteCaughtUp()
 		s.contact = map[quorum.Member]time.Time{}
 		for _, peer := range s.members.All() {
 			if at := m.LastContact(peer); !at.IsZero() {
@@ -116,6 +113,21 @@
 	v.status.Store(s)
 }
 
+// noteCaughtUp reports whether the state machine has applied what the leader had committed when
+// the present session began. What is committed later does not count: while entries are
+// committed all the time, a member with a slow disk never has applied all of them.
+func (v *Voter) noteCaughtUp() bool {
+	m := v.machine
+	if m.Leader() == (quorum.Member{}) {
+		return false
+	}
+	present := session{m.Term(), m.LeaderSession()}
+	if m.CaughtUp() && v.catchUpIn != present {
+		v.catchUpIn, v.catchUpIndex = present, m.Commit()
+	}
+	return v.catchUpIn == present && v.applied >= v.catchUpIndex
+}
+
 // noteHeard records that a message arrived and forgets former members.
 func (v *Voter) noteHeard(msg quorum.Message) {
 	members := v.machine.Members()
--- a/internal/voter/status_test.go
+++ b/internal/voter/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"poplarbend.example/poplar"
@@ -50,3 +51,16 @@
 		return s.CaughtUp()
 	})
 }
+
+// TestCaughtUpWithSlowDisk restarts a follower while entries are committed all the time. A
+// follower whose disk is slower than those of a majority did not count as caught up, since
+// it never had applied all that was committed at one moment.
+func TestCaughtUpWithSlowDisk(t *testing.T) {
+	f := newFleetOfFive(t, "abcde")
+	f.lead("a")
+	f.load("a")
+	f.syncTime = map[poplar.Daemon]time.Duration{"d": 20 * time.Millisecond}
+	f.stop("d")
+	f.start("d")
+	f.await("d catches up", func() bool { return f.voter("d").Status().CaughtUp() })
+}
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -45,7 +45,8 @@
 	applied         poplar.Index
 	proposals       map[poplar.Index][]*proposal // invariant: by index of the entry
 	reads           map[uint64][]*readRequest    // invariant: by ID of the read
-	caughtUpIn      session                      // invariant: the last session in which all that the leader had committed was applied
+	catchUpIn       session                      // invariant: the last session in which the machine had all that the leader had committed
+	catchUpIndex    poplar.Index                 // invariant: what the leader had committed then
 	lastReadID      uint64
 	watchers        []*readRequest // invariant: wait until the entry at their index is applied
 	failure         error          // invariant: set at most once, by a disk failure or a snapshot that cannot be restored
