--- a/internal/voter/readmit_test.go
+++ b/internal/voter/readmit_test.go
@@ -73,6 +73,20 @@
 	})
 }
 
+// awaitVoters waits until all daemons vote with their present disks, and no other one.
+func (f *fleet) awaitVoters() {
+	f.t.Helper()
+	f.await("five voters", func() bool {
+		members := f.voter(f.leader()).Status().Members()
+		for _, n := range f.names {
+			if !members.IsVoter(f.voter(n).Status().Self()) {
+				return false
+			}
+		}
+		return len(members.Voters) == len(f.names)
+	})
+}
+
 // run executes one event of a script.
 func (f *fleet) run(event string) {
 	f.t.Helper()
@@ -84,6 +98,8 @@
 	case "wipe":
 		f.crash(name)
 		f.disks[name] = disk.NewMemory()
+	case "power":
+		f.crash(name)
 	case "start":
 		f.start(name)
 	case "slow":
@@ -95,6 +111,8 @@
 		f.isolate(name, verb == "cut")
 	case "learner", "voter":
 		f.awaitMember(name, verb == "voter")
+	case "voters":
+		f.awaitVoters()
 	case "wait":
 		time.Sleep(milliseconds(f.t, arg))
 	default:
@@ -126,15 +144,7 @@
 			for event := range strings.SplitSeq(strings.Join(fields[2:], " "), ";") {
 				f.run(event)
 			}
-			f.await("five voters", func() bool {
-				members := f.voter(f.leader()).Status().Members()
-				for _, n := range f.names {
-					if !members.IsVoter(f.voter(n).Status().Self()) {
-						return false
-					}
-				}
-				return len(members.Voters) == len(f.names)
-			})
+			f.awaitVoters()
 			f.propose(f.leader(), "two")
 			f.assertApplied([]string{"one", "two"}, f.names...)
 		})
