Admit a daemon on a new disk whose seeds are away

Such a daemon asked the daemons of its settings only, and those that their replies name. While none of them is in reach it stayed out, although the leader goes on sending to the address of its former disk. The senders of such messages are asked too.

--- a/internal/voter/join.go
+++ b/internal/voter/join.go
@@ -73,7 +73,7 @@
 }
 
 // helloReceivers returns the daemons to send hellos to: the configured ones, the
-// members in the log, if any are known, and those that replies named.
+// members in the log, if any are known, and those of the referrals.
 func (v *Voter) helloReceivers() []poplar.Daemon {
 	names := slices.Concat(v.helloTargets, v.memberNames(), v.referrals.list(v.now))
 	slices.Sort(names)
--- a/internal/voter/referral.go
+++ b/internal/voter/referral.go
@@ -9,14 +9,15 @@
 )
 
 // This file implements how a member without the log learns of daemons that its
-// settings do not name. Only the leader admits a member, and any voter may be the
-// leader: a member that asks the daemons of its settings alone is not admitted
-// while another one leads.
+// settings do not name: replies to hellos name the members of the log, and members
+// send messages to the former disk of the daemon. Only the leader admits a member, and
+// any voter may be the leader: a member that asks the daemons of its settings alone is
+// not admitted while another one leads, or while none of them is in reach.
 
 // maxReferrals bounds the daemons in a referralSet.
 const maxReferrals = 64
 
-// referralSet contains the daemons that recent replies to hellos named.
+// referralSet contains the daemons that recent messages named or came from.
 type referralSet struct {
 	expiry map[poplar.Daemon]time.Time // invariant: at most maxReferrals daemons
 }
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -222,6 +222,10 @@
 }
 
 func (v *Voter) receive(msg quorum.Message) {
+	if msg.To != v.founder.self {
+		// A leader goes on sending to the former disk of this daemon.
+		v.referrals.add([]poplar.Daemon{msg.From.Name}, v.now.Add(v.config.RepairTimeout))
+	}
 	switch {
 	case msg.Type == quorum.TypeHello && msg.Hello != nil:
 		v.receiveHello(msg)
