Let a founder that is killed go on founding the log

Operators saw a fleet that never starts: a control daemon that is killed right after it listens at the first start keeps the log from being founded. Whether a daemon founds was read from its settings, which say so at the first start only; after its restart it waited for a running log, and the others waited for it. A founder now keeps the names of the founders on its disk, and a daemon on a replaced disk adopts a list that names it.

Ruled out: founding with a majority of the founders, since a founder that was away could then create a second list.

--- a/internal/voter/config.go
+++ b/internal/voter/config.go
@@ -39,8 +39,8 @@
 	// Founders are the initial voters of the log. A member on a new disk also
 	// asks these daemons for the log.
 	Founders []poplar.Daemon
-	// Join is true for a member that never founds a log, even when its disk is
-	// new.
+	// Join is true for a member that never founds a log on a new disk. A founder that
+	// restarts on its disk before the log is founded goes on with it.
 	Join bool
 	// TargetVoters is the number of voters up to which joining members are promoted.
 	// Once there are that many, a silent voter is replaced by a learner that
@@ -147,7 +147,12 @@
 		return nil
 	}
 	im.Self = quorum.Member{Name: config.Name, Incarnation: max(1, config.Seed&math.MaxUint32)}
-	if err := journal.Append(encode(record{Self: &im.Self})); err != nil {
+	records := [][]byte{encode(record{Self: &im.Self})}
+	if config.isFounder() {
+		im.Found.Names = config.Founders
+		records = append(records, encode(record{Found: &im.Found}))
+	}
+	if err := journal.Append(records...); err != nil {
 		return err
 	}
 	return journal.Sync()
--- a/internal/voter/founding.go
+++ b/internal/voter/founding.go
@@ -19,6 +19,11 @@
 // when all the listed daemons have adopted the list. A founder whose disk is
 // replaced later therefore always receives the list from another one, unless all
 // of them lost their disks, and never founds a second log.
+//
+// A founder that restarts before that may no longer be told that the fleet starts for the
+// first time. Its disk tells: it holds the names of the founders from the first start on.
+// A daemon on a disk without them only adopts a list that names it, so that the others
+// need not wait for it, and never creates one.
 
 // founder is the founding state machine of one member.
 type founder struct {
@@ -31,7 +36,12 @@
 	conflict     bool                            // invariant: set when a founder with a different list was met
 }
 
+// newFounder returns the founding state machine of a member whose settings name the founders.
+// The names on its disk, if there are any, go before those.
 func newFounder(self quorum.Member, names []poplar.Daemon, found founding) *founder {
+	if disk := found.names(); len(disk) > 0 {
+		names = disk
+	}
 	names = slices.Clone(names)
 	slices.Sort(names)
 	f := &founder{self: self, founderNames: slices.Compact(names), founding: found}
@@ -40,6 +50,24 @@
 	return f
 }
 
+// names returns the names of the founders that the disk holds, if it holds any.
+func (f *founding) names() []poplar.Daemon {
+	if f.Founders == nil {
+		return f.Names
+	}
+	var names []poplar.Daemon
+	for _, m := range f.Founders {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
+// founds reports whether the disk belongs to a member that founds the log, whatever its
+// settings say since.
+func (f *founding) founds(self quorum.Member) bool {
+	return f.Founders == nil && len(f.Names) > 0 || slices.Contains(f.Founders, self)
+}
+
 // step handles a hello. It reports whether the founding has changed and must be
 // made durable before the next hello is sent.
 func (f *founder) step(from quorum.Member, hello quorum.Hello) bool {
@@ -47,7 +75,7 @@
 		return false
 	}
 	if f.joinOnly {
-		return f.adoptStarted(hello)
+		return f.adoptStarted(hello) || f.adoptListed(hello)
 	}
 	if !slices.Contains(f.founderNames, from.Name) {
 		return false
@@ -82,6 +110,17 @@
 	return true
 }
 
+// adoptListed adopts a list that names this daemon, which then does not found but lets the
+// others start.
+func (f *founder) adoptListed(hello quorum.Hello) bool {
+	named := slices.ContainsFunc(hello.Founders, func(m quorum.Member) bool { return m.Name == f.self.Name })
+	if !named || f.founding.Founders != nil {
+		return false
+	}
+	f.founding = founding{Founders: hello.Founders}
+	return true
+}
+
 // advance creates and adopts the list of founders when all of them are new, and
 // marks the log as started when all have adopted the list. It reports whether the founding has
 // changed.
--- a/internal/voter/founding_test.go
+++ b/internal/voter/founding_test.go
@@ -11,7 +11,8 @@
 	"poplarbend.example/poplar/pkg/quorum"
 )
 
-// TestFounding runs founders with lost hellos, restarts and replaced disks. A
+// TestFounding runs founders with lost hellos, restarts and replaced disks, also with settings
+// that no longer say that the fleet starts for the first time. A
 // second log may start only when every disk present at the start of the first
 // one has been replaced.
 func TestFounding(t *testing.T) {
@@ -20,18 +21,22 @@
 		var disks [3]founding
 		var hosts [3]*founder
 		incarnations := uint64(0)
-		startFounder := func(i int, fresh bool) {
+		startFounder := func(i int, fresh, join bool) {
 			self := quorum.Member{Name: names[i], Incarnation: incarnations + 1}
 			if fresh {
 				incarnations++
 				disks[i] = founding{}
+				if !join {
+					disks[i].Names = names
+				}
 			} else {
 				self = hosts[i].self
 			}
 			hosts[i] = newFounder(self, names, disks[i])
+			hosts[i].joinOnly = join && !disks[i].founds(self)
 		}
 		for i := range hosts {
-			startFounder(i, true)
+			startFounder(i, true, false)
 		}
 		deliverHello := func(from, to int) {
 			if from != to && hosts[to].step(hosts[from].self, *hosts[from].hello(false)) {
@@ -45,10 +50,12 @@
 			"tell": func(t *rapid.T) {
 				deliverHello(rapid.IntRange(0, 2).Draw(t, "from"), rapid.IntRange(0, 2).Draw(t, "to"))
 			},
-			"restart": func(t *rapid.T) { startFounder(rapid.IntRange(0, 2).Draw(t, "host"), false) },
+			"restart": func(t *rapid.T) {
+				startFounder(rapid.IntRange(0, 2).Draw(t, "host"), false, rapid.Bool().Draw(t, "join"))
+			},
 			"replace": func(t *rapid.T) {
 				if rapid.IntRange(0, 2).Draw(t, "rare") == 0 {
-					startFounder(rapid.IntRange(0, 2).Draw(t, "host"), true)
+					startFounder(rapid.IntRange(0, 2).Draw(t, "host"), true, rapid.Bool().Draw(t, "join"))
 				}
 			},
 			"": func(t *rapid.T) {
--- a/internal/voter/join.go
+++ b/internal/voter/join.go
@@ -72,10 +72,10 @@
 	}
 }
 
-// helloReceivers returns the daemons to send hellos to: the configured ones, the
+// helloReceivers returns the daemons to send hellos to: the configured ones, the founders, the
 // members in the log, if any are known, and those of the referrals.
 func (v *Voter) helloReceivers() []poplar.Daemon {
-	names := slices.Concat(v.helloTargets, v.memberNames(), v.referrals.list(v.now))
+	names := slices.Concat(v.helloTargets, v.founder.founding.names(), v.memberNames(), v.referrals.list(v.now))
 	slices.Sort(names)
 	return slices.Compact(names)
 }
--- a/internal/voter/journal.go
+++ b/internal/voter/journal.go
@@ -25,6 +25,9 @@
 
 // founding is what a member knows about the founding of its log.
 type founding struct {
+	// Names are the founders that the settings named at the first start of the fleet. They
+	// are set on the disk of a founder until it has adopted a founding membership.
+	Names []poplar.Daemon `json:"names,omitempty"`
 	// Founders is the founding membership, nil until the member has adopted
 	// one. A member, which is one incarnation of a daemon, adopts at most one.
 	Founders []quorum.Member `json:"set"`
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -84,7 +84,7 @@
 		reads:           map[uint64][]*readRequest{},
 		heard:           map[quorum.Member]time.Time{},
 	}
-	v.founder.joinOnly = config.Join || !config.isFounder()
+	v.founder.joinOnly = !config.isFounder() && !im.Found.founds(im.Self)
 	if im.Found.Founders == nil && v.founder.advance() {
 		v.saveFounding()
 	}
