--- a/internal/voter/replace_test.go
+++ b/internal/voter/replace_test.go
@@ -9,10 +9,16 @@
 	"poplarbend.example/poplar/pkg/disk"
 )
 
-// join starts a member that is not a founder and asks the others for the log.
+// join starts a member on a new disk that is not a founder and asks the others for the log.
 func (f *fleet) join(name poplar.Daemon) {
 	f.t.Helper()
 	f.disks[name] = disk.NewMemory()
+	f.startJoining(name)
+}
+
+// startJoining starts a member whose settings say that it joins a log.
+func (f *fleet) startJoining(name poplar.Daemon) {
+	f.t.Helper()
 	config := f.config(name)
 	config.Join = true
 	v, err := Start(config)
--- a/internal/voter/restart_test.go
+++ b/internal/voter/restart_test.go
@@ -5,8 +5,6 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/pkg/disk"
 )
@@ -42,13 +40,7 @@
 				}
 				f.seeds = []poplar.Daemon{"c", "x"} // the settings may name others by then
 				for _, n := range c.killed {
-					config := f.config(poplar.Daemon(n))
-					config.Join = true
-					v, err := Start(config)
-					assert.NilError(t, err)
-					f.mu.Lock()
-					f.voters[poplar.Daemon(n)] = v
-					f.mu.Unlock()
+					f.startJoining(poplar.Daemon(n))
 				}
 				f.awaitVoters()
 				f.propose("a", "one")
