Let case 7 show the streams that are lost with the engines

Cause: the case showed the retries that reach engines, and not what that costs. Change: sound streams of other callers at the two other routers.

--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -48,9 +48,10 @@
 	at       string
 	controls []string
 	pause    time.Duration // between events
-	prefill  time.Duration // until the first event
+	prefill  time.Duration // until the answer begins
 	poison   int           // events after which a poisonous request crashes the engine
 	tainted  bool          // true if poisonPart crashes the engine
+	leaving  bool          // true once the engine says in its answers that it leaves
 
 	mu       sync.Mutex
 	id       string // of the present incarnation
@@ -148,17 +149,29 @@
 }
 
 func (e *engine) beat(ctx context.Context, client *http.Client, at string) bool {
+	return e.send(ctx, client, at, e.nextBeat())
+}
+
+// nextBeat returns the next heartbeat.
+func (e *engine) nextBeat() []byte {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.sequence++
 	body, err := json.Marshal(map[string]any{
 		"service": e.service, "address": e.at, "zone": "zone-1", "version": "v1", "slots": 64, "state": "ready", "coldRemainingMs": 0,
 		"phase": "both", "sequence": e.sequence, "born": e.born,
 	})
-	id := e.id
-	e.mu.Unlock()
 	if err != nil {
-		return false
+		panic(err)
 	}
+	return body
+}
+
+// send sends a heartbeat to a daemon and reports whether it was acknowledged.
+func (e *engine) send(ctx context.Context, client *http.Client, at string, body []byte) bool {
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at+"/api/Instances.Heartbeat/"+id, bytes.NewReader(body))
 	if err != nil {
 		return false
@@ -180,9 +193,12 @@
 	}
 	id := r.Header.Get(headerAttempt)
 	e.mu.Lock()
-	self := e.id
+	self, leaving := e.id, e.leaving
 	e.mu.Unlock()
 	h := w.Header()
+	if leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	h.Set(headerAttempt, id)
 	h.Set("Keep-Alive", "timeout=15")
 	h.Set("Poplarbend-Instance-Load", "1,0,64")
@@ -195,16 +211,12 @@
 	e.mu.Unlock()
 	e.rig.note("%s runs %s, %s ms left", self, id, r.Header.Get(headerLeft))
 	h.Set(headerSeal, "3e1b."+self+"."+id)
+	time.Sleep(e.prefill)
 	usage := r.Header.Get(headerUsage)
 	if usage == "" {
 		w.Write([]byte("done " + id))
 		return
 	}
-	time.Sleep(e.prefill)
-	if strings.HasPrefix(r.URL.Path, pathWhole) {
-		w.Write([]byte(wholeAnswer(usage)))
-		return
-	}
 	if e.tainted && strings.Contains(r.Header.Get(headerPrefix), poisonPart+":") {
 		e.rig.note("%s crashes on %s", e.at, id)
 		e.crash()
@@ -239,22 +251,3 @@
 		sent++
 	}
 }
-
-// ran returns whether the engine has run a request.
-func (e *engine) ran(id string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, run := range e.runs {
-		if run == id {
-			return true
-		}
-	}
-	return false
-}
-
-// wholeAnswer returns an answer of the most tokens that the usage allows.
-func wholeAnswer(usage string) string {
-	_, most, _ := strings.Cut(usage, ",")
-	output, _ := strconv.Atoi(most)
-	return strings.Repeat("token ", output)
-}
--- a/review/rig2/poison.go
+++ b/review/rig2/poison.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +20,9 @@
 	sendGap       = 4500 * time.Millisecond
 	contactTime   = 3 * time.Second // contactMs
 	mostAfter     = 3               // retries that may reach engines, by the rule
+	besideStreams = 8               // sound streams beside each retry
+	besideEvents  = 100             // 2 s
+	besideLead    = 300 * time.Millisecond
 )
 
 func playPoison(r *rig) (string, error) {
@@ -53,6 +58,7 @@
 	if r.trouble {
 		body = "a text that " + poisonMark
 	}
+	beside := &beside{fleet: f, rig: r, key: key}
 	reached, late := 0, 0
 	var third time.Time
 	for n := range poisonSends {
@@ -60,6 +66,8 @@
 			id: fmt.Sprint("again-", n), path: pathAsk + "x", key: key, usage: "100,120", prefix: "a1:40,c7:60", body: body,
 			wait: 12 * time.Second,
 		}
+		beside.begin(n)
+		time.Sleep(besideLead)
 		sent := time.Now()
 		a := q.dialAndSend(f.routers[n%len(f.routers)].at(portCallers))
 		runs, crashed := countRuns(engines, q.id), crashes(engines)
@@ -76,6 +84,8 @@
 		}
 		time.Sleep(sendGap)
 	}
+	beside.clients.Wait()
+	r.say("%d of %d sound streams of other callers were cut", beside.cut.Load(), beside.all)
 	r.say("the request reached engines %d times, %d of them sent over %s after the third crash", reached, late, contactTime)
 	if late > mostAfter {
 		return fmt.Sprintf("%d retries sent over %s after the third crash reached engines", late, contactTime), nil
@@ -83,6 +93,36 @@
 	return "", nil
 }
 
+// beside are sound streams of other callers at other routers than the one that has the
+// poisonous request.
+type beside struct {
+	fleet   *fleet
+	rig     *rig
+	key     string
+	clients sync.WaitGroup
+	all     int
+	cut     atomic.Int64
+}
+
+// begin begins streams that go on for some seconds.
+func (b *beside) begin(round int) {
+	for i := range besideStreams {
+		at := b.fleet.routers[(round+1+i%2)%len(b.fleet.routers)].at(portCallers)
+		q := request{
+			id: fmt.Sprintf("sound-%d-%d", round, i), path: pathStream + "x", key: b.key, usage: fmt.Sprintf("100,%d", besideEvents*stride),
+			prefix: fmt.Sprintf("a1:40,d%d%02x:60", round, i), body: fmt.Sprintf("sound %d %d", round, i), wait: 12 * time.Second,
+		}
+		b.all++
+		b.clients.Go(func() {
+			a := q.dialAndSend(at)
+			b.rig.note("%s: %v", q.id, a)
+			if a.status == 200 && !a.whole {
+				b.cut.Add(1)
+			}
+		})
+	}
+}
+
 // revive starts the engine again some seconds after each crash.
 func (e *engine) revive() {
 	for !e.rig.expired.Load() {
