Show that a part which crashes engines is let through each minute

Cause: the refusal of a part ends a minute after the last crash, at all routers at once, and nothing limits how many requests then try it.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -24,8 +24,9 @@
 type play func(r *rig) (broken string, err error)
 
 var plays = map[string]play{
-	"poison":  playPoison,
 	"restore": playRestore,
+	"part":    playPart,
+	"poison":  playPoison,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
