--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -24,6 +24,7 @@
 type play func(r *rig) (broken string, err error)
 
 var plays = map[string]play{
+	"found":   playFound,
 	"leave":   playLeave,
 	"restore": playRestore,
 	"part":    playPart,
