--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -31,10 +31,6 @@
 // poisonMark is in the body of a request that crashes each engine that begins to run it.
 const poisonMark = "crashes the engine"
 
-// poisonPart is a part of prompts that crashes each engine that begins to write an answer
-// on it, unless it is the last one.
-const poisonPart = "dead01"
-
 // stride is the number of tokens in an event.
 const stride = 6
 
@@ -50,7 +46,6 @@
 	pause    time.Duration // between events
 	prefill  time.Duration // until the answer begins
 	poison   int           // events after which a poisonous request crashes the engine
-	tainted  bool          // true if poisonPart crashes the engine
 	leaving  bool          // true once the engine says in its answers that it leaves
 
 	mu       sync.Mutex
@@ -217,11 +212,6 @@
 		w.Write([]byte("done " + id))
 		return
 	}
-	if e.tainted && strings.Contains(r.Header.Get(headerPrefix), poisonPart+":") {
-		e.rig.note("%s crashes on %s", e.at, id)
-		e.crash()
-		return
-	}
 	e.stream(w, r, usage, strings.Contains(string(body), poisonMark))
 }
 
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -27,7 +27,6 @@
 	"found":   playFound,
 	"leave":   playLeave,
 	"restore": playRestore,
-	"part":    playPart,
 	"poison":  playPoison,
 }
 
