--- a/review/rig2/engine.go
+++ b/review/rig2/engine.go
@@ -212,6 +212,10 @@
 		w.Write([]byte("done " + id))
 		return
 	}
+	if strings.HasPrefix(r.URL.Path, pathWhole) {
+		w.Write([]byte(wholeAnswer(usage)))
+		return
+	}
 	e.stream(w, r, usage, strings.Contains(string(body), poisonMark))
 }
 
@@ -241,3 +245,10 @@
 		sent++
 	}
 }
+
+// wholeAnswer returns an answer of the most tokens that the usage allows.
+func wholeAnswer(usage string) string {
+	_, most, _ := strings.Cut(usage, ",")
+	output, _ := strconv.Atoi(most)
+	return strings.Repeat("token ", output)
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -27,6 +27,7 @@
 	"found":   playFound,
 	"leave":   playLeave,
 	"restore": playRestore,
+	"whole":   playWhole,
 	"poison":  playPoison,
 }
 
--- a/review/rig2/operator.go
+++ b/review/rig2/operator.go
@@ -19,6 +19,7 @@
 	pathStream = "/pufi791/" // streams that may not
 	pathClaim  = "/puxa403/" // unsafe
 	pathLook   = "/zeda118/" // safe
+	pathWhole  = "/mika552/" // safe, of the model engines
 )
 
 // tenant is a tenant of the configuration.
