--- a/review/rig2/restore.go
+++ b/review/rig2/restore.go
@@ -20,7 +20,7 @@
 	// recoverTime is recoverS, and readTime how long the operator reads back. Both count
 	// from the kill.
 	recoverTime = 12 * time.Second
-	readTime    = 25 * time.Second
+	readTime    = 20 * time.Second
 	// mostEnds is the number of ends by themselves from which a process counts by the rules
 	// on faults.
 	mostEnds = 3
