Restore budgets of which no router has drawn

No configuration is read back or accepted.

Change: Budgets.UnmarshalJSON restores omitted maps as empty ones.

Before the change TestRestoredStateTakesEveryCommand failed on its first course, and TestDiskWithBudgetThatNobodyDrewStarts panicked.

Ruled out: the same in pkg/state (2,000 courses of TestFleetKeepsPromises, which restarts replicas and compares answers) and in pkg/ledger, whose simulation has a twin now that is restored after every third record (2,000 courses).

--- a/pkg/ledger/fleet_test.go
+++ b/pkg/ledger/fleet_test.go
@@ -43,6 +43,7 @@
 type domainSim struct {
 	domain   poplar.Domain
 	machine  *ledger.Machine
+	twin     *restoredTwin // of machine
 	journal  [][]byte
 	snapshot []byte // state before the first record of the journal
 	durable  int    // invariant: journal[:durable] survives a crash
@@ -102,12 +103,6 @@
 	return f
 }
 
-func must(t *rapid.T, err error) {
-	if err != nil {
-		t.Fatalf("%v", err)
-	}
-}
-
 func (f *fleetSim) apply(t *rapid.T, s *domainSim, records []ledger.Record) {
 	for i := range records {
 		r := records[i]
@@ -119,6 +114,7 @@
 		if err != nil {
 			t.Fatalf("%s: %v", s.domain, err)
 		}
+		s.applyToTwin(t, &decoded)
 		s.journal = append(s.journal, data)
 	}
 }
--- a/pkg/wallet/budgets.go
+++ b/pkg/wallet/budgets.go
@@ -16,6 +16,7 @@
 package wallet
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"time"
@@ -170,9 +171,10 @@
 	// ClosedIssued is the number of tokens that were issued to ended incarnations
 	// and neither returned nor recovered. ClosedSpent is the number of tokens that
 	// these incarnations had reported as spent.
-	ClosedIssued poplar.Tokens              `json:"gone,omitempty"`
-	ClosedSpent  poplar.Tokens              `json:"goneused,omitempty"`
-	Accounts     map[poplar.Daemon]*Account `json:"with,omitempty"`
+	ClosedIssued poplar.Tokens `json:"gone,omitempty"`
+	ClosedSpent  poplar.Tokens `json:"goneused,omitempty"`
+	// Accounts is never nil, also after UnmarshalJSON.
+	Accounts map[poplar.Daemon]*Account `json:"with,omitempty"`
 
 	sums *accountSums // invariant: the sums over Accounts, or nil before they are first needed
 }
@@ -225,6 +227,24 @@
 	return &Budgets{ByWorkspace: map[poplar.Workspace]*Budget{}, Routers: map[poplar.Daemon]*Router{}}
 }
 
+// UnmarshalJSON implements json.Unmarshaler. Maps that the encoding omits because they are
+// empty are restored as empty maps, so that the state takes the same commands as the one
+// that was encoded.
+func (b *Budgets) UnmarshalJSON(data []byte) error {
+	type plain Budgets // without this method
+	next := plain(*NewBudgets())
+	if err := json.Unmarshal(data, &next); err != nil {
+		return err
+	}
+	for _, budget := range next.ByWorkspace {
+		if budget.Accounts == nil {
+			budget.Accounts = map[poplar.Daemon]*Account{}
+		}
+	}
+	*b = Budgets(next)
+	return nil
+}
+
 // Grant is the declared budget of a workspace.
 type Grant struct {
 	Tokens poplar.Tokens `json:"tokens"`
