Refuse a command that the state machine cannot apply

What operators saw with the fault before: one committed command at which the state machine panics ends every member at every start. Nothing but another program gets the log, the configuration and the budgets back.

Appliers restore in one step; nobody reads a state that a command has partly changed.

TestCommandThatPanicsIsRefused ended the test's process before the change.

--- a/internal/core/ballots.go
+++ b/internal/core/ballots.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/voter"
 	"poplarbend.example/poplar/pkg/quorum"
 )
@@ -30,6 +31,10 @@
 		"own", uint64(b.OwnIndex), "own_term", uint64(b.OwnTerm))
 }
 
+func (c *Core) logRefused(index poplar.Index, cause error) {
+	c.settings.Log.Error("command refused, state unchanged", "entry", uint64(index), "error", cause)
+}
+
 // logVoters writes a line when the leader changes, and one about the voters when
 // they change, when the leader hears from more or fewer of them, and every
 // voterLogPeriod while there is no leader, and at the leader while there are learners.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -152,7 +152,7 @@
 	c.mu.Unlock()
 	v, err := voter.Start(voter.Config{
 		Name: peer.Seed(s.Address), Founders: asked, Join: !s.First, TargetVoters: voterCount(s.Losses),
-		Files: s.Files, Applier: c.replica, Sender: c.box, Forward: c.forward, Clock: s.Clock, Ballot: c.logBallot,
+		Files: s.Files, Applier: c.replica, Sender: c.box, Forward: c.forward, Clock: s.Clock, Ballot: c.logBallot, Refused: c.logRefused,
 		Heartbeat: heartbeat, Election: election, RepairTimeout: repairTime, CompactSize: compactSize,
 	})
 	if err != nil {
@@ -265,7 +265,7 @@
 }
 
 // propose carries a command through the log. All commands are idempotent, so a
-// lost answer is asked for again until ctx ends.
+// lost answer is asked for again until ctx ends. A refused command is not.
 func (c *Core) propose(ctx context.Context, cmd command) (reply, error) {
 	data := encode(cmd)
 	var out reply
@@ -282,7 +282,7 @@
 			}
 			return out, nil
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || poplar.CodeOf(err) == poplar.CodeInvalid {
 			return out, err
 		}
 		select {
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -73,6 +73,9 @@
 	// passed is when this member learned of state.Now; guarded by mu.
 	passed time.Time
 	clock  poplar.Clock
+	// applying is true while Apply holds the lock. After a panic Apply goes on holding
+	// it until Restore.
+	applying bool // invariant: used by the goroutine that applies only
 }
 
 var _ voter.Applier = (*replica)(nil)
@@ -94,34 +97,46 @@
 // Apply implements voter.Applier.
 func (r *replica) Apply(_ poplar.Index, data []byte) []byte {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.applying = true
+	now, revision := r.state.Now, r.state.Revision
+	out := r.state.apply(data)
+	r.applying = false
+	if r.state.Now != now {
+		r.passed = r.clock.Now()
+	}
+	if r.state.Revision != revision {
+		r.announce()
+	}
+	r.mu.Unlock()
+	return encode(out)
+}
+
+// apply executes a command. One that cannot be decoded changes nothing.
+func (i *image) apply(data []byte) reply {
 	var c command
 	var out reply
 	if err := json.Unmarshal(data, &c); err != nil {
 		out.Error = fmt.Sprintf("decode the command: %v", err)
-		return encode(out)
+		return out
 	}
 	switch {
 	case c.Put != nil:
-		out.Outcome = r.put(c.Put)
+		out.Outcome = i.put(c.Put)
 	case c.Draw != nil:
-		if c.At > r.state.Now {
-			r.state.Now, r.passed = c.At, r.clock.Now()
-		}
-		drawn := r.state.Book.HandleDraw(*c.Draw, c.At)
+		i.Now = max(i.Now, c.At)
+		drawn := i.Book.HandleDraw(*c.Draw, c.At)
 		out.Drawn = &drawn
 	}
-	out.Revision = r.state.Revision
-	return encode(out)
+	out.Revision = i.Revision
+	return out
 }
 
-func (r *replica) put(p *put) Outcome {
-	if o, decided := compare(p.Revision, p.Digest, r.state.Revision, r.state.Digest); decided {
+func (i *image) put(p *put) Outcome {
+	if o, decided := compare(p.Revision, p.Digest, i.Revision, i.Digest); decided {
 		return o
 	}
-	r.state.Revision, r.state.Digest, r.state.Document = p.Revision, p.Digest, p.Document
-	r.state.Book.Declare(p.Grants)
-	r.announce()
+	i.Revision, i.Digest, i.Document = p.Revision, p.Digest, p.Document
+	i.Book.Declare(p.Grants)
 	return OutcomeNew
 }
 
@@ -153,7 +168,12 @@
 }
 
 // Restore implements voter.Applier.
-func (r *replica) Restore(snapshot []byte) error {
+func (r *replica) Restore(snapshot []byte, later ...voter.Command) error {
+	if !r.applying {
+		r.mu.Lock()
+	}
+	r.applying = false
+	defer r.mu.Unlock()
 	state := image{}
 	if len(snapshot) > 0 {
 		if err := json.Unmarshal(snapshot, &state); err != nil {
@@ -163,8 +183,9 @@
 	if state.Book == nil {
 		state.Book = wallet.NewBudgets()
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	for _, c := range later {
+		state.apply(c.Data)
+	}
 	r.state, r.passed = state, r.clock.Now()
 	r.announce()
 	return nil
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -54,6 +54,9 @@
 		Forward: func(ctx context.Context, to poplar.Daemon, command []byte) ([]byte, error) {
 			return peer.CallWithin[[]byte, []byte](ctx, askTime, pool, to, peer.OpPropose, command)
 		},
+		Refused: func(index poplar.Index, cause error) {
+			logger.Error("command refused, state unchanged", "entry", uint64(index), "error", cause)
+		},
 	})
 	if err != nil {
 		box.Close()
--- a/internal/follow/replica.go
+++ b/internal/follow/replica.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/internal/voter"
 	"poplarbend.example/poplar/pkg/state"
 )
 
@@ -16,8 +17,13 @@
 	mu    sync.Mutex
 	state *state.State // invariant: guarded by mu
 	news  *bell
+	// applying is true while Apply holds the lock. After a panic Apply goes on holding
+	// it until Restore.
+	applying bool // invariant: used by the goroutine that applies only
 }
 
+var _ voter.Applier = (*Replica)(nil)
+
 // NewReplica returns a replica of the empty state.
 func NewReplica() *Replica {
 	return &Replica{state: state.New(), news: newBell()}
@@ -26,9 +32,12 @@
 // Apply applies the command at index and returns the encoded reply.
 func (r *Replica) Apply(index poplar.Index, command []byte) []byte {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	defer r.news.ring()
-	return r.state.Apply(index, command)
+	r.applying = true
+	reply := r.state.Apply(index, command)
+	r.applying = false
+	r.mu.Unlock()
+	r.news.ring()
+	return reply
 }
 
 // Snapshot returns the encoded state.
@@ -38,17 +47,26 @@
 	return r.state.Snapshot()
 }
 
-// Restore replaces the state by a snapshot. An empty snapshot is the empty
-// state.
-func (r *Replica) Restore(snapshot []byte) error {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// Restore replaces the state by a snapshot and the commands that follow it. An empty
+// snapshot is the empty state.
+func (r *Replica) Restore(snapshot []byte, later ...voter.Command) error {
+	if !r.applying {
+		r.mu.Lock()
+	}
+	r.applying = false
 	defer r.news.ring()
-	if len(snapshot) == 0 {
-		r.state = state.New()
-		return nil
+	defer r.mu.Unlock()
+	next := state.New()
+	if len(snapshot) > 0 {
+		if err := next.Restore(snapshot); err != nil {
+			return err
+		}
+	}
+	for _, c := range later {
+		next.Apply(c.Index, c.Data)
 	}
-	return r.state.Restore(snapshot)
+	r.state = next
+	return nil
 }
 
 // Read calls f with the state, which f must not keep.
--- a/internal/voter/config.go
+++ b/internal/voter/config.go
@@ -17,14 +17,23 @@
 
 // Applier is the state machine that the log drives. All calls come from one
 // goroutine. Apply must be deterministic: members that apply the same commands
-// reach the same state.
+// reach the same state, also if some of them were restored from a snapshot between
+// two commands. A command at which Apply panics is refused (see refuse.go).
 type Applier interface {
-	// Apply executes a command and returns the reply for the proposer.
+	// Apply executes a command and returns the reply for the proposer. After a panic
+	// nobody may read the state until it has been restored.
 	Apply(index poplar.Index, command []byte) []byte
 	// Snapshot returns the whole state.
 	Snapshot() []byte
-	// Restore replaces the state. An empty snapshot is the initial state.
-	Restore(snapshot []byte) error
+	// Restore replaces the state by a snapshot and the commands that follow it, in one
+	// step for readers. An empty snapshot is the initial state.
+	Restore(snapshot []byte, later ...Command) error
+}
+
+// Command is a command and the index of its entry.
+type Command struct {
+	Index poplar.Index
+	Data  []byte
 }
 
 // Forward proposes a command at another daemon, which must handle it with
@@ -55,6 +64,9 @@
 	// Ballot, if it is set, is called for each decision on a request for this
 	// member's vote. It must not block.
 	Ballot func(quorum.Ballot)
+	// Refused, if it is set, is called for each entry whose command could not be
+	// applied. It must not block.
+	Refused func(index poplar.Index, cause error)
 	// Heartbeat and Election have the same meaning as in quorum.Config.
 	Heartbeat time.Duration
 	Election  time.Duration
--- a/internal/voter/fleet_test.go
+++ b/internal/voter/fleet_test.go
@@ -36,10 +36,14 @@
 // a voter hangs.
 const testTimeout = 10 * time.Second
 
+// brokenCommand is a command at which commandLog panics when it has added it.
+const brokenCommand = "broken"
+
 // commandLog is a state machine that records the commands in order.
 type commandLog struct {
-	mu       sync.Mutex
-	commands []string
+	mu         sync.Mutex
+	commands   []string
+	appliesAll bool // brokenCommand, too
 }
 
 func (c *commandLog) Apply(index poplar.Index, command []byte) []byte {
@@ -48,6 +52,9 @@
 	if string(command) != loadCommand {
 		c.commands = append(c.commands, string(command))
 	}
+	if string(command) == brokenCommand && !c.appliesAll {
+		panic("the command cannot be applied")
+	}
 	return fmt.Appendf(nil, "%s@%d", command, index)
 }
 
@@ -58,14 +65,21 @@
 	return data
 }
 
-func (c *commandLog) Restore(snapshot []byte) error {
+func (c *commandLog) Restore(snapshot []byte, later ...Command) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.commands = nil
-	if len(snapshot) == 0 {
-		return nil
+	if len(snapshot) > 0 {
+		if err := json.Unmarshal(snapshot, &c.commands); err != nil {
+			return err
+		}
+	}
+	for _, command := range later {
+		if string(command.Data) != loadCommand {
+			c.commands = append(c.commands, string(command.Data))
+		}
 	}
-	return json.Unmarshal(snapshot, &c.commands)
+	return nil
 }
 
 func (c *commandLog) list() []string {
@@ -92,6 +106,7 @@
 	disks       map[poplar.Daemon]*disk.Memory
 	state       map[poplar.Daemon]*commandLog
 	compactSize int64
+	appliesAll  bool            // see commandLog
 	voterTarget int             // see Config.TargetVoters
 	seeds       []poplar.Daemon // see Config.Founders; nil for names
 	lastSeed    uint64
@@ -166,7 +181,7 @@
 
 func (f *fleet) config(name poplar.Daemon) Config {
 	f.lastSeed++
-	f.state[name] = &commandLog{}
+	f.state[name] = &commandLog{appliesAll: f.appliesAll}
 	founders := f.names
 	if f.seeds != nil {
 		founders = f.seeds
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -43,6 +43,7 @@
 	heard           map[quorum.Member]time.Time // invariant: when the last message of each member of the log arrived
 	helloTargets    []poplar.Daemon             // invariant: daemons that a member asks for the log
 	applied         poplar.Index
+	refused         []poplar.Index               // invariant: entries after the snapshot whose commands could not be applied
 	proposals       map[poplar.Index][]*proposal // invariant: by index of the entry
 	reads           map[uint64][]*readRequest    // invariant: by ID of the read
 	catchUpIn       session                      // invariant: the last session in which the machine had all that the leader had committed
@@ -192,7 +193,10 @@
 
 // processInput passes all input to the machine.
 func (v *Voter) processInput(in inbox) {
-	if v.failure = in.failure; v.failure != nil {
+	if v.failure == nil {
+		v.failure = in.failure
+	}
+	if v.failure != nil {
 		return
 	}
 	if in.compactAt > 0 {
@@ -255,7 +259,9 @@
 		v.restore(*s)
 	}
 	for _, e := range r.Committed() {
-		v.apply(e)
+		if v.apply(e); v.failure != nil {
+			return
+		}
 	}
 	for _, read := range r.Reads() {
 		v.completeReads(read)
@@ -317,29 +323,38 @@
 
 func (v *Voter) apply(e quorum.Entry) {
 	var reply []byte
+	var refusal error
 	if e.Kind == quorum.KindCommand {
-		reply = v.config.Applier.Apply(e.Index, e.Data)
+		reply, refusal = v.execute(e)
+	}
+	if v.failure != nil {
+		return
 	}
 	v.applied = e.Index
 	for _, p := range v.proposals[e.Index] {
-		if p.term == e.Term {
+		switch {
+		case p.term == e.Term && refusal != nil:
+			p.fail(refusal)
+		case p.term == e.Term:
 			p.reply(reply)
-		} else {
+		default:
 			p.fail(poplar.Failf(poplar.StepPropose, poplar.CodeStale, "entry was replaced by an entry of another leader").Ran(poplar.RunNo))
 		}
 	}
 	delete(v.proposals, e.Index)
 }
 
-// compact takes a snapshot when the journal has reached the size limit.
+// compact takes a snapshot when the journal has reached the size limit, or when it holds
+// a refused entry.
 func (v *Voter) compact() {
-	if v.compacting || v.failure != nil || v.group.Size() < v.compactAt {
+	if v.compacting || v.failure != nil || v.group.Size() < v.compactAt && len(v.refused) == 0 {
 		return
 	}
 	if v.applied <= v.machine.Snapshot().Index || !v.machine.Compact(v.applied, v.config.Applier.Snapshot()) {
 		return
 	}
 	v.compacting = true
+	v.forgetRefused()
 	image := v.image()
 	v.group.SubmitCompact(func(err error) {
 		// With a large state, a snapshot costs more than the records that it
