Refuse requests that crash upstreams in the middle of the answer

Cause: a router looked for a crash only if at most one event had come, of any upstream of the attempt; a later start of the upstream counted for 2 s only; and the request was sent on before the crash was known. A probe alone would refuse the sound streams too, since each had the same record.

Change: pkg/poison decides which crash counts for whom (Breaks, RecordBreaks, unexplained). Crashes in mid-stream are weaker evidence: three are needed, and those that a request with more crashes shares do not count. A suspect waits 50 ms for the probe before its next attempt. Control daemons tell routers of such requests from the second crash on.

TestCrashInMidStreamIsFoundWithoutAnotherRequest failed before. Tests of proxy, platform, core and cmd pass with the race detector.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,7 +93,8 @@
 	routerList uint64                    // invariant: guarded by mu; grows with each change of the routers in watchers
 	poison     *poison.Registry          // invariant: guarded by mu
 	poisoned   uint64                    // invariant: guarded by mu; grows with each change of poison
-	// poisonedAt is the value of poisoned at the last change of each record.
+	// poisonedAt is the value of poisoned at the last change of each record that routers
+	// are told of.
 	poisonedAt map[poison.Fingerprint]uint64 // invariant: guarded by mu
 	limits     *pace.Book                    // invariant: guarded by mu; limits that upstreams have named
 	limitList  uint64                        // invariant: guarded by mu; grows with each change of limits
@@ -364,17 +365,15 @@
 func (c *Core) learn(records []poison.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := false
-	for _, r := range records {
-		if c.poison.MergeRecords([]poison.Record{r}) {
-			c.poisonedAt[r.Fingerprint] = c.poisoned + 1
-			changed = true
-		}
+	news := c.poison.MergeReports(records)
+	if len(news) == 0 {
+		return
 	}
-	if changed {
-		c.poisoned++
-		c.announce()
+	c.poisoned++
+	for _, r := range news {
+		c.poisonedAt[r.Fingerprint] = c.poisoned
 	}
+	c.announce()
 }
 
 // learnLimits takes limits that upstreams have named to a router.
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -6,6 +6,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/quorum"
 	"poplarbend.example/poplar/pkg/roster"
 	"poplarbend.example/poplar/pkg/wallet"
@@ -64,11 +65,11 @@
 		seen.Entries, seen.Delta = c.roster.EntriesSince(w.Roster), true
 	}
 	if w.Incarnation != c.life || w.Poison != seen.Poison {
-		for _, r := range c.poison.Records(mostRecords) {
-			if w.Incarnation != c.life || c.poisonedAt[r.Fingerprint] > w.Poison {
-				seen.Records = append(seen.Records, r)
-			}
+		since := w.Poison
+		if w.Incarnation != c.life {
+			since = 0
 		}
+		seen.Records = c.poison.Select(mostRecords, func(fp poison.Fingerprint) bool { return c.poisonedAt[fp] > since })
 	}
 	if w.Incarnation != c.life || w.LimitList != seen.LimitList {
 		seen.Limits = c.limits.Limits()
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -111,6 +111,9 @@
 			if !x.route.Kind.Repeatable() || x.runs >= x.route.MaxAttempts {
 				return x.exhausted("no complete response from the upstream")
 			}
+			if x.mustEnd() {
+				return x.exhausted("the request crashed upstreams")
+			}
 		}
 		if !time.Now().Before(x.deadline) || x.ctx.Err() != nil {
 			return x.expired()
@@ -194,7 +197,7 @@
 	x.runs++ // undone if the upstream refuses the request
 	a := &attempt{
 		x: x, u: u, uncached: uncached, size: size, streamWeight: stream, began: now, reused: conn.Reused(), sentAt: time.Now(),
-		predicted: x.choice.predicted, resumes: x.headerWritten,
+		predicted: x.choice.predicted, resumes: x.headerWritten, eventsAtSend: x.events,
 	}
 	defer a.noteEnd()
 	defer a.noteFirstByte()
@@ -218,10 +221,11 @@
 	case resultBroken:
 		u.attemptFailed(time.Now())
 		if !x.retryTaken {
-			x.recordBroken(u)
+			x.recordBroken(u, x.events-a.eventsAtSend)
 		}
 	case resultDone:
 		a.measurePauses(time.Now())
+		x.p.suspects.noteAnswer(u, a.sentAt)
 		x.clearSuspicion()
 	}
 	if outcome != resultDone {
@@ -300,6 +304,7 @@
 	sentAt       time.Time
 	predicted    float64   // see choice
 	resumes      bool      // true if an earlier attempt has delivered a part of the response
+	eventsAtSend int       // events of the exchange when the attempt began
 	firstEventAt time.Time // zero before the first event
 	eventsBefore int       // events of the exchange up to the first one of this attempt
 	gotFirstByte bool      // invariant: true once the first byte was received
--- a/internal/proxy/connect.go
+++ b/internal/proxy/connect.go
@@ -7,6 +7,7 @@
 
 	"poplarbend.example/poplar/internal/caller"
 	"poplarbend.example/poplar/internal/conns"
+	"poplarbend.example/poplar/pkg/poison"
 )
 
 // An attempt begins with a connection to its upstream. It gets none if nobody waits for the
@@ -56,7 +57,7 @@
 		u.connectFailed(done)
 	}
 	if refused {
-		x.p.reportCrash(u)
+		x.p.reportCrash(u, poison.EvidenceRefused)
 	}
 	x.p.log.Info("unreached", "id", x.env.ID, "upstream", string(u.name), "at", u.address, "error", err)
 	return nil, resultNotSent
--- a/internal/proxy/probe.go
+++ b/internal/proxy/probe.go
@@ -5,6 +5,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"poplarbend.example/poplar/pkg/poison"
 )
 
 // A router probes upstreams whose responses broke off.
@@ -36,7 +38,7 @@
 		}
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			c.upstream.connectFailed(time.Now())
-			c.proxy.reportCrash(c.upstream)
+			c.proxy.reportCrash(c.upstream, poison.EvidenceRefused)
 		}
 		return
 	}
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/binary"
 	"hash/fnv"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -25,12 +25,12 @@
 	// retry such requests within seconds.
 	refusalTime   = 5 * time.Minute
 	suspicionTime = time.Minute
-	// crashWindow is the maximum time between a broken response and the
-	// evidence that the upstream has crashed.
-	crashWindow = 2 * time.Second
 	// begunEvents is the number of delivered events from which a stream counts as
 	// begun, so that its parts do not crash upstreams.
 	begunEvents = 2
+	// suspectPause is how long a request with a record waits after a broken response,
+	// before it is sent to another upstream. It covers the first try of a probe.
+	suspectPause = 50 * time.Millisecond
 	// reportTimeout limits a report to a control daemon, and reportPeriod is
 	// the longest delay of a report.
 	reportTimeout = 500 * time.Millisecond
@@ -44,32 +44,20 @@
 type suspects struct {
 	position float64 // invariant: from 0 to 1, differs between routers
 
-	mu             sync.Mutex
-	registry       *poison.Registry
-	brokenRequests map[incarnation][]brokenRequest // invariant: entries older than crashWindow are removed when one is added
-	probed         map[incarnation]time.Time       // invariant: when the last probe began; entries older than crashWindow are removed with the broken requests
-	unreported     []poison.Record                 // invariant: records not yet reported to the control daemons
-}
-
-// incarnation identifies one process start of an upstream.
-type incarnation struct {
-	upstream  poplar.Upstream
-	startTime int64 // Unix milliseconds
-}
+	records atomic.Int64 // number of records; while it is 0, no fingerprints are computed
+	broken  atomic.Int64 // number of runs with breaks; while it is 0, answers take no lock
 
-// brokenRequest is a request whose response broke off.
-type brokenRequest struct {
-	fingerprint poison.Fingerprint
-	parts       []poison.Fingerprint // of the prompt
-	begun       bool                 // true if the stream had delivered begunEvents
-	at          time.Time
+	mu         sync.Mutex
+	registry   *poison.Registry // invariant: guarded by mu
+	breaks     *poison.Breaks   // invariant: guarded by mu
+	unreported []poison.Record  // invariant: guarded by mu; records not yet reported to the control daemons
 }
 
 func newSuspects(position float64) *suspects {
 	return &suspects{
-		position:       position,
-		registry:       poison.NewRegistry(poison.Settings{RefuseDuration: refusalTime, SuspectDuration: suspicionTime}),
-		brokenRequests: map[incarnation][]brokenRequest{}, probed: map[incarnation]time.Time{},
+		position: position,
+		registry: poison.NewRegistry(poison.Settings{RefuseDuration: refusalTime, SuspectDuration: suspicionTime}),
+		breaks:   poison.NewBreaks(),
 	}
 }
 
@@ -102,10 +90,13 @@
 
 // nonEmpty reports whether there are any records. Fingerprints are computed
 // only if there are.
-func (s *suspects) nonEmpty() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.registry.Len() > 0
+func (s *suspects) nonEmpty() bool { return s.records.Load() > 0 }
+
+// unlock counts what there is after a change, and unlocks mu.
+func (s *suspects) unlock() {
+	s.records.Store(int64(s.registry.Len()))
+	s.broken.Store(int64(s.breaks.Len()))
+	s.mu.Unlock()
 }
 
 // refused reports whether a request must be refused because it or a part of its
@@ -113,7 +104,7 @@
 // refused returns the record to report.
 func (s *suspects) refused(fp poison.Fingerprint, parts []poison.Fingerprint, now time.Time) (until time.Time, refused bool, trial []poison.Record) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	verdict, until := s.registry.Check(fp, now)
 	if verdict == poison.Refused {
 		return until, true, nil
@@ -125,57 +116,43 @@
 	return until, verdict == poison.Refused, trial
 }
 
-// recordBroken records that the response of u to a request broke off. It reports
-// whether the upstream should be probed for a crash.
-func (s *suspects) recordBroken(u *upstream, b brokenRequest, now time.Time) bool {
+// recordBroken records that a response of u broke off. If u is known to have ended, it
+// returns the records to report; otherwise probe tells whether u should be probed.
+func (s *suspects) recordBroken(u *upstream, b poison.Break) (records []poison.Record, probe bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	for key, list := range s.brokenRequests {
-		if now.Sub(list[len(list)-1].at) > crashWindow {
-			delete(s.brokenRequests, key)
-		}
+	defer s.unlock()
+	crashed, probe := s.breaks.Add(u.name, uint64(u.startTime), b)
+	if crashed {
+		return s.registry.RecordBreaks(u.name, uint64(u.startTime), []poison.Break{b}, b.At), false
 	}
-	for key, at := range s.probed {
-		if now.Sub(at) > crashWindow {
-			delete(s.probed, key)
-		}
-	}
-	key := incarnation{u.name, u.startTime}
-	b.at = now
-	s.brokenRequests[key] = append(s.brokenRequests[key], b)
-	if _, probed := s.probed[key]; probed || b.begun {
-		return false
+	return nil, probe
+}
+
+// recordEnd records that the run of an upstream has ended. It returns the records of the
+// requests for which that counts as a crash.
+func (s *suspects) recordEnd(u *upstream, evidence poison.Evidence, now time.Time) []poison.Record {
+	s.mu.Lock()
+	defer s.unlock()
+	breaks := s.breaks.NoteEnd(u.name, uint64(u.startTime), evidence, now)
+	return s.registry.RecordBreaks(u.name, uint64(u.startTime), breaks, now)
+}
+
+// noteAnswer records that u answered a request that was sent at the given time.
+func (s *suspects) noteAnswer(u *upstream, sentAt time.Time) {
+	if s.broken.Load() == 0 {
+		return
 	}
-	s.probed[key] = now
-	return true
+	s.mu.Lock()
+	defer s.unlock()
+	s.breaks.NoteAnswer(u.name, uint64(u.startTime), sentAt)
 }
 
-// recordEnd records that the incarnation of an upstream has ended. It returns
-// the records of the requests whose responses broke off shortly before.
-func (s *suspects) recordEnd(u *upstream, now time.Time) []poison.Record {
+// known reports whether a request is under a restriction, and whether it must be refused.
+func (s *suspects) known(fp poison.Fingerprint, now time.Time) (known, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	key := incarnation{u.name, u.startTime}
-	var requests, parts []poison.Fingerprint
-	begun := map[poison.Fingerprint]bool{}
-	for _, b := range s.brokenRequests[key] {
-		if now.Sub(b.at) > crashWindow {
-			continue
-		}
-		requests = append(requests, b.fingerprint)
-		for _, fp := range b.parts {
-			if begun[fp] = begun[fp] || b.begun; !b.begun {
-				parts = append(parts, fp)
-			}
-		}
-	}
-	delete(s.brokenRequests, key)
-	if len(requests) == 0 {
-		return nil
-	}
-	parts = slices.DeleteFunc(parts, func(fp poison.Fingerprint) bool { return begun[fp] })
-	records := s.registry.RecordCrash(u.name, uint64(u.startTime), requests, now)
-	return append(records, s.registry.RecordPartCrash(u.name, uint64(u.startTime), parts, now)...)
+	verdict, _ := s.registry.Check(fp, now)
+	return verdict != poison.Clean, verdict == poison.Refused
 }
 
 // recordFinished clears a request that completed, and the parts of its prompt. It
@@ -189,15 +166,16 @@
 // learn merges the records of other routers.
 func (s *suspects) learn(records []poison.Record) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	s.registry.MergeRecords(records)
 }
 
 // sweep removes expired records.
 func (s *suspects) sweep(now time.Time) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.unlock()
 	s.registry.Sweep(now)
+	s.breaks.Sweep(now)
 }
 
 func (s *suspects) queue(records []poison.Record) {
@@ -216,9 +194,11 @@
 	return records
 }
 
-// reportCrash records that the incarnation of an upstream has ended, and
-// reports the requests that may have crashed it.
-func (p *Proxy) reportCrash(u *upstream) { p.reportSuspects(p.suspects.recordEnd(u, time.Now())) }
+// reportCrash records that the run of an upstream has ended, and reports the requests that
+// may have crashed it.
+func (p *Proxy) reportCrash(u *upstream, evidence poison.Evidence) {
+	p.reportSuspects(p.suspects.recordEnd(u, evidence, time.Now()))
+}
 
 // reportSuspects queues records for the control daemons, which forward them to
 // all routers. Crashes are reported at once.
@@ -229,7 +209,8 @@
 	crashed := false
 	for _, r := range records {
 		crashed = crashed || len(r.Crashes) > 0
-		p.log.Warn("suspect", "print", uint64(r.Fingerprint), "part", r.Part, "crashes", len(r.Crashes), "cleared", !r.Cleared.IsZero())
+		p.log.Warn("suspect", "print", uint64(r.Fingerprint), "part", r.Part, "crashes", len(r.Crashes), "begun", r.BegunCrashes(),
+			"cleared", !r.Cleared.IsZero())
 	}
 	p.suspects.queue(records)
 	if !crashed {
@@ -258,15 +239,34 @@
 	}
 }
 
-// recordBroken records that the response of an upstream broke off, and probes the
-// upstream if that may have been a crash.
-func (x *exchange) recordBroken(u *upstream) {
-	b := brokenRequest{fingerprint: x.fingerprint(), parts: x.partFingerprints(), begun: x.events >= begunEvents}
-	if x.p.suspects.recordBroken(u, b, time.Now()) {
+// recordBroken records that the response of an upstream broke off after the given number
+// of events, and probes the upstream if that may have been a crash.
+func (x *exchange) recordBroken(u *upstream, events int) {
+	b := poison.Break{
+		Fingerprint: x.fingerprint(), Parts: x.partFingerprints(), PartsAnswered: x.events >= begunEvents, Begun: events > 0, At: time.Now(),
+	}
+	records, probe := x.p.suspects.recordBroken(u, b)
+	x.p.reportSuspects(records)
+	if probe {
 		go crashProbe{x.p, u}.run()
 	}
 }
 
+// mustEnd reports whether a request whose response broke off must not be sent to another
+// upstream because it has crashed several. A suspect waits for what the probe of the last
+// upstream shows.
+func (x *exchange) mustEnd() bool {
+	if !x.p.suspects.nonEmpty() {
+		return false
+	}
+	fp := x.fingerprint()
+	known, refused := x.p.suspects.known(fp, time.Now())
+	if known && !refused && sleep(x.ctx, suspectPause) {
+		_, refused = x.p.suspects.known(fp, time.Now())
+	}
+	return refused
+}
+
 // checkSuspect refuses a request that crashed upstreams before, or a part of whose
 // prompt did.
 func (x *exchange) checkSuspect() *poplar.Error {
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"poplarbend.example/poplar"
+	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/roster"
 )
 
@@ -57,8 +58,31 @@
 // request. Nobody sends it another one, and no roster tells of its end.
 func TestCrashIsFoundWithoutAnotherRequest(t *testing.T) {
 	h := newHarness(t, script{})
+	ended := h.upstreamThatEnds("")
+	assert.Equal(t, h.call(t.Context(), http.MethodPost, "unsafe", "k").status, http.StatusBadGateway)
+	assert.NilError(t, <-ended)
+	assert.Equal(t, h.awaitCrash().Upstream, poplar.Upstream("a"))
+}
+
+// TestCrashInMidStreamIsFoundWithoutAnotherRequest has an upstream that ends after some events
+// of its answer. It guards against a crash that nobody looks for because the answer had begun.
+func TestCrashInMidStreamIsFoundWithoutAnotherRequest(t *testing.T) {
+	h := newHarness(t, script{})
+	ended := h.upstreamThatEnds("HTTP/1.1 200 OK\r\nId: 1\r\nSeal: a\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"30\r\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n\r\n")
+	assert.Equal(t, h.call(t.Context(), http.MethodPost, "stream", "k", "Id", "1").status, http.StatusOK)
+	assert.NilError(t, <-ended)
+	crash := h.awaitCrash()
+	assert.Equal(t, crash.Upstream, poplar.Upstream("a"))
+	assert.Assert(t, crash.Begun)
+}
+
+// upstreamThatEnds makes an upstream the only one that reads a request, writes the given bytes
+// and ends. Its error comes on the channel.
+func (h *harness) upstreamThatEnds(answer string) <-chan error {
+	h.t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
+	assert.NilError(h.t, err)
 	h.proxy.setUpstreams([]roster.Entry{{Announcement: roster.Announcement{
 		Name: "a", Service: "s", Address: listener.Addr().String(), Domain: "d", Slots: 8, State: roster.StateReady,
 	}}})
@@ -68,21 +92,42 @@
 		listener.Close()
 		if err == nil {
 			_, err = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = conn.Write([]byte(answer))
 			conn.Close()
 		}
 		ended <- err
 	}()
-	assert.Equal(t, h.call(t.Context(), http.MethodPost, "unsafe", "k").status, http.StatusBadGateway)
-	assert.NilError(t, <-ended)
+	return ended
+}
+
+// awaitCrash returns the first crash that the router reports.
+func (h *harness) awaitCrash() poison.Crash {
+	h.t.Helper()
 	for deadline := time.Now().Add(testTimeout); ; time.Sleep(time.Millisecond) {
 		if records := h.proxy.suspects.takeUnreported(); len(records) > 0 {
-			assert.Equal(t, records[0].Crashes[0].Upstream, poplar.Upstream("a"))
-			return
+			return records[0].Crashes[0]
 		}
-		assert.Assert(t, time.Now().Before(deadline), "the crash was not found")
+		assert.Assert(h.t, time.Now().Before(deadline), "the crash was not found")
 	}
 }
 
+// TestRequestThatCrashesInMidStreamIsRefused sends a request that crashes each upstream after
+// some events of its answer. It guards against one that crashes all upstreams one by one. The
+// third crash is not followed by another attempt, and a sound stream is still served.
+func TestRequestThatCrashesInMidStreamIsRefused(t *testing.T) {
+	h := newHarness(t, script{"a": {"stream 3", "stream 3", "stream 3", "stream 6"}})
+	for range 3 {
+		got := h.call(t.Context(), http.MethodPost, "stream", "k", "Id", "poisonous", "Parts", "one two")
+		assert.Equal(t, got.status, http.StatusOK)
+		h.restart("a")
+		time.Sleep(2 * time.Millisecond) // records are ordered by time
+	}
+	got := h.call(t.Context(), http.MethodPost, "stream", "k", "Id", "poisonous", "Parts", "one two")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable, "must be refused without being run")
+	assert.Equal(t, len(h.arrivals()), 3)
+	assert.Equal(t, h.call(t.Context(), http.MethodPost, "safe", "k").status, http.StatusOK)
+}
+
 // TestPoisonousPartIsRefusedInAllRequests sends requests that are all different and share
 // one part, which crashes each upstream, and others that share the first part only.
 // After three crashes the router refuses the former and serves the latter.
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -7,6 +7,7 @@
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/pkg/place"
 	"poplarbend.example/poplar/pkg/plan"
+	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/roster"
 )
 
@@ -74,7 +75,11 @@
 // setUpstreams replaces the upstreams by those in the roster. The counters of
 // an upstream are retained as long as its incarnation is the same.
 func (p *Proxy) setUpstreams(entries []roster.Entry) {
-	var removed []*upstream
+	removed := map[*upstream]poison.Evidence{}
+	started := map[string]int64{} // the latest start, by address
+	for _, e := range entries {
+		started[e.Address] = max(started[e.Address], e.StartedAt)
+	}
 	p.updateView(func(v *view) {
 		old := map[poplar.Upstream]*upstream{}
 		for _, group := range v.services {
@@ -96,15 +101,17 @@
 			}
 		}
 		for _, u := range old {
+			removed[u] = poison.EvidenceRefused
 			// Requests in progress may still refer to this upstream.
-			u.leaving.Store(true)
-			removed = append(removed, u)
+			if left := u.leaving.Swap(true); !left && started[u.address] > u.startTime {
+				removed[u] = poison.EvidenceRestart
+			}
 			p.log.Info("upstream", "upstream", string(u.name), "state", string(roster.StateRemoved), "at", u.address, "service", string(u.service))
 		}
 		p.prepareGroups(v)
 	})
-	for _, u := range removed {
-		p.reportCrash(u)
+	for u, evidence := range removed {
+		p.reportCrash(u, evidence)
 	}
 }
 
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -26,6 +26,7 @@
 			Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "boot")),
 			At:          epoch.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "at")) * time.Second),
 			Concurrent:  rapid.IntRange(0, 3).Draw(t, "beside"),
+			Begun:       rapid.Bool().Draw(t, "begun"),
 		}
 		r = Merge(r, Record{Fingerprint: 1, Part: part, Crashes: []Crash{c}})
 	}
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -23,6 +23,9 @@
 	// Concurrent is the number of other requests that the reporting daemon had
 	// in flight at the upstream.
 	Concurrent int `json:"beside"`
+	// Begun is true if the upstream had begun to answer the request. A request that is
+	// sound is often in flight at a crash with its answer begun, so this is weaker evidence.
+	Begun bool `json:"begun,omitempty"`
 }
 
 // Record is what the fleet knows about one fingerprint.
@@ -41,10 +44,21 @@
 	IsolatedUntil time.Time       `json:"until,omitzero"`
 }
 
+// BegunCrashes returns the number of crashes at which the answer had begun.
+func (r Record) BegunCrashes() int {
+	count := 0
+	for _, c := range r.Crashes {
+		if c.Begun {
+			count++
+		}
+	}
+	return count
+}
+
 // maxCrashes and maxPartCrashes bound the crashes stored in a record of a request and
 // of a part. The latest ones are retained.
 const (
-	maxCrashes     = 4
+	maxCrashes     = 8
 	maxPartCrashes = 32
 )
 
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -21,15 +21,20 @@
 	// nothing else in flight, and no two suspects run at the same upstream at
 	// the same time.
 	Isolated
-	// Refused means that the request crashed two upstreams. It is not run.
+	// Refused means that the request crashed two upstreams, or three in the middle of its
+	// answer. It is not run.
 	Refused
 )
 
 // String returns "clean", "alone" or "refused".
 func (v Verdict) String() string { return [...]string{"clean", "alone", "refused"}[v] }
 
-// crashLimit is the number of crashes after which a fingerprint is refused.
-const crashLimit = 2
+// crashLimit is the number of crashes after which a fingerprint is refused, and
+// begunCrashLimit the number if the answer had begun in all of them but one.
+const (
+	crashLimit      = 2
+	begunCrashLimit = 3
+)
 
 // Registry stores the records of one daemon and decides on requests. It is not
 // safe for concurrent use.
@@ -85,8 +90,13 @@
 	if len(r.Crashes) == 0 {
 		return time.Time{}
 	}
+	return r.Crashes[len(r.Crashes)-1].At.Add(startSlot(fp))
+}
+
+// startSlot returns the time from the last crash of a suspect to its start slot.
+func startSlot(fp Fingerprint) time.Duration {
 	hash := uint64(fp) * 0x9e3779b97f4a7c15
-	return r.Crashes[len(r.Crashes)-1].At.Add(time.Duration(hash>>60%startSlots) * startSlotInterval)
+	return time.Duration(hash>>60%startSlots) * startSlotInterval
 }
 
 // StartIsolated records that a suspect is about to run alone at an upstream,
@@ -114,12 +124,11 @@
 // RecordCrash records that an upstream crashed with the given fingerprints in
 // flight. It returns the records to send to the other daemons.
 func (reg *Registry) RecordCrash(upstream poplar.Upstream, number uint64, fingerprints []Fingerprint, now time.Time) []Record {
-	out := make([]Record, 0, len(fingerprints))
-	for _, fp := range attributed(fingerprints, reg, now) {
-		crash := Crash{Upstream: upstream, Incarnation: number, At: now, Concurrent: len(fingerprints) - 1}
-		out = append(out, reg.merge(Record{Fingerprint: fp, Crashes: []Crash{crash}}))
+	breaks := make([]Break, len(fingerprints))
+	for i, fp := range fingerprints {
+		breaks[i].Fingerprint = fp
 	}
-	return out
+	return reg.RecordBreaks(upstream, number, breaks, now)
 }
 
 // RecordFinish records that a request ran to its end. If there is a record of its
@@ -162,12 +171,40 @@
 	return changed
 }
 
+// MergeReports merges the records that a router reports to a control daemon, and returns
+// the merged records that the other routers need: those that changed, and not those of
+// requests whose answers had begun at their only crash. There is one of these for each
+// stream at each upstream that crashes, and no router refuses them.
+func (reg *Registry) MergeReports(records []Record) []Record {
+	var out []Record
+	for _, r := range records {
+		before, known := reg.records[r.Fingerprint]
+		after := reg.merge(r)
+		if (needed(before) || needed(after)) && !(known && equalRecords(before, after)) {
+			out = append(out, after)
+		}
+	}
+	return out
+}
+
+// needed reports whether routers need a record that another one reported.
+func needed(r Record) bool {
+	return r.Part || len(r.Crashes) >= crashLimit || slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !c.Begun })
+}
+
 // Records returns the records sorted by fingerprint, at most limit of them: those
 // with the latest news. A limit of 0 means no limit.
 func (reg *Registry) Records(limit int) []Record {
+	return reg.Select(limit, func(Fingerprint) bool { return true })
+}
+
+// Select returns what Records does, of the records that are wanted.
+func (reg *Registry) Select(limit int, wanted func(Fingerprint) bool) []Record {
 	out := make([]Record, 0, len(reg.records))
-	for _, r := range reg.records {
-		out = append(out, r)
+	for fp, r := range reg.records {
+		if wanted(fp) {
+			out = append(out, r)
+		}
 	}
 	if limit > 0 && len(out) > limit {
 		sort.Slice(out, func(i, j int) bool { return out[i].latest().After(out[j].latest()) })
@@ -235,13 +272,14 @@
 }
 
 // isCulprit reports whether r certainly caused its crashes: there are at least
-// two, and in one of them it was the only request in flight. Parts do not take
-// crashes off requests.
+// two, and in one of them it was the only request in flight. The reporting daemon does
+// not know of requests of others, whose answers have often begun, so such crashes do not
+// count. Parts do not take crashes off requests.
 func isCulprit(r Record) bool {
 	if r.Part {
 		return false
 	}
-	alone := slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Concurrent == 0 })
+	alone := slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Concurrent == 0 && !c.Begun })
 	return alone && len(r.Crashes) >= crashLimit
 }
 
@@ -267,24 +305,38 @@
 		return reg.partVerdict(r, now)
 	}
 	s := reg.settings
-	last, count := time.Time{}, 0
+	last, count, begun := time.Time{}, 0, 0
 	for _, c := range r.Crashes {
 		if now.Sub(c.At) > s.RefuseDuration || !isCulprit(r) && reg.hasOtherCulprit(r.Fingerprint, c) {
 			continue
 		}
 		count++
+		if c.Begun {
+			begun++
+		}
 		if c.At.After(last) {
 			last = c.At
 		}
 	}
-	refuse := s.RefuseDuration
+	refused, refuse := count-begun >= crashLimit, s.RefuseDuration
+	if !refused && count >= begunCrashLimit {
+		unexplained, rival := reg.unexplained(r)
+		refused = unexplained >= begunCrashLimit
+		switch {
+		case rival && count <= begunCrashLimit+1:
+			// The next crash shows which of them it is, if they start at different times.
+			refuse = startSlot(r.Fingerprint)
+		case rival:
+			refuse = min(s.SuspectDuration, s.RefuseDuration)
+		}
+	}
 	if reg.ambiguous(r) {
 		refuse = min(s.SuspectDuration, s.RefuseDuration)
 	}
 	switch {
-	case count >= crashLimit && now.Before(last.Add(refuse)):
+	case refused && now.Before(last.Add(refuse)):
 		return Refused, last.Add(refuse)
-	case count >= crashLimit && now.Before(last.Add(s.RefuseDuration)):
+	case refused && now.Before(last.Add(s.RefuseDuration)):
 		return Isolated, last.Add(s.RefuseDuration)
 	case count > 0 && now.Before(last.Add(s.SuspectDuration)):
 		return Isolated, last.Add(s.SuspectDuration)
@@ -293,16 +345,44 @@
 	}
 }
 
+// unexplained returns the number of crashes of r that no record with more crashes has in
+// common with it. A request that crashes its upstreams takes part in all of their crashes,
+// a sound one only in those at which both ran. A rival took part in all crashes of r and in
+// no other, so that either may have caused them.
+func (reg *Registry) unexplained(r Record) (count int, rival bool) {
+	explained := map[incarnation]bool{}
+	for fp, other := range reg.records {
+		if fp == r.Fingerprint || other.Part || len(other.Crashes) < len(r.Crashes) {
+			continue
+		}
+		if len(other.Crashes) == len(r.Crashes) {
+			rival = rival || other.covers(r)
+			continue
+		}
+		for _, c := range other.Crashes {
+			explained[incarnation{c.Upstream, c.Incarnation}] = true
+		}
+	}
+	for _, c := range r.Crashes {
+		if !explained[incarnation{c.Upstream, c.Incarnation}] {
+			count++
+		}
+	}
+	return count, rival
+}
+
 // attributed returns the fingerprints that a crash counts against: those that
 // were suspect before or, if there are none, all. When a suspect was in flight,
-// healthy requests beside it are not held responsible.
+// healthy requests beside it are not held responsible. A request is no such suspect
+// if its answer had begun in all of its crashes.
 func attributed(fingerprints []Fingerprint, reg *Registry, now time.Time) []Fingerprint {
 	unique := slices.Clone(fingerprints)
 	slices.Sort(unique)
 	unique = slices.Compact(unique)
 	var suspects []Fingerprint
 	for _, fp := range unique {
-		if v, _ := reg.Check(fp, now); v != Clean {
+		v, _ := reg.Check(fp, now)
+		if v != Clean && slices.ContainsFunc(reg.records[fp].Crashes, func(c Crash) bool { return !c.Begun }) {
 			suspects = append(suspects, fp)
 		}
 	}
@@ -338,7 +418,8 @@
 	return list
 }
 
-// crashLess orders crashes by time, then by their other fields.
+// crashLess orders crashes by time, then by their other fields. Of two reports at the same
+// time the one of an answer that had not begun is the later one.
 func crashLess(a, b Crash) bool {
 	if !a.At.Equal(b.At) {
 		return a.At.Before(b.At)
@@ -349,6 +430,9 @@
 	if a.Incarnation != b.Incarnation {
 		return a.Incarnation < b.Incarnation
 	}
+	if a.Begun != b.Begun {
+		return a.Begun
+	}
 	return a.Concurrent < b.Concurrent
 }
 
