Notice crashes of engines whose answers end with the connection

Cause: the end of such an answer is no error of the connection, so the hop did not count as broken; and the engine was probed once, at once.

Change: answers that end early count as broken, and the probe tries three times within 125 ms before the caller sees the error.

Ruled out: more crashes before a refusal, as in internal/proxy. Here suspects run alone, so a second crash is certain.

--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -384,27 +384,38 @@
 	endSpan(h.span, err)
 }
 
+// probeDelays are the waits before the tries of a probe. An upstream that crashes may accept
+// connections for a moment longer than it keeps those that it has.
+var probeDelays = [...]time.Duration{0, 25 * time.Millisecond, 100 * time.Millisecond}
+
 // probe checks whether the upstream crashed when the connection broke, and
 // returns once the crash was published by Config.PublishCrashRecords. The caller
 // must not see the error earlier, because its retry might then reach a router
 // that does not know of the crash.
 func (h *hop) probe() {
 	e := h.call.edge
-	conn, err := dial(context.WithoutCancel(h.ctx), "tcp", h.address)
-	if err == nil {
+	for _, delay := range probeDelays {
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		conn, err := dial(context.WithoutCancel(h.ctx), "tcp", h.address)
+		if err != nil {
+			e.crashes.connectFailed(h.upstream, h.incarnation, e.conf.Clock.Now())
+			break
+		}
 		conn.Close()
-	} else {
-		e.crashes.connectFailed(h.upstream, h.incarnation, e.conf.Clock.Now())
 	}
 	e.crashes.awaitPublished(h)
 }
 
 // connectionBroke reports whether err means that the upstream broke the
-// connection.
+// connection. A response with neither a length nor chunks ends early without an error of
+// the connection.
 func (h *hop) connectionBroke(err error) bool {
 	var op *net.OpError
+	endedEarly := errors.Is(err, errTruncated) || errors.Is(err, errCutEvent) || errors.Is(err, errNotJSON)
 	return !dialFailed(err) &&
-		(h.response == nil || errors.As(err, &op) || errors.Is(err, io.ErrUnexpectedEOF))
+		(h.response == nil || endedEarly || errors.As(err, &op) || errors.Is(err, io.ErrUnexpectedEOF))
 }
 
 // bodyDrainTimeout bounds the wait for the end of the body after the last
