Keep acknowledged leaves of upstreams in the log

The restarted router sends the engine calls that must not be repeated 3.9 s after the acknowledgement (drainMs is 2 s); they end with the engine.

Cause: rosters live in the memory of one control daemon each. Only the daemon that acknowledged the leave and the routers that watched it knew of it.

Change: a leave is an entry of the log and acknowledged once a majority holds it, within 900 ms or not at all. Routers are told before, as early as until now. A daemon that starts takes the leaves of all entries in its log, and announcements of a run that has left are not taken.

Ruled out: telling all daemons before the acknowledgement (waits for the slowest, forgotten when all restart); a file on the daemon's own disk (lost with the disk, unknown to a zone that was cut off); routers that wait for several daemons before they use an upstream (serve later after a start).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -118,7 +118,6 @@
 		settings: s,
 		pool:     pool,
 		box:      peer.NewOutboxWithin[quorum.Message](pool, peer.OpStep, sendLimit),
-		replica:  newReplica(s.Clock),
 		life:     binary.LittleEndian.Uint64(b[:]) >> 11, // exact as a JSON number
 		roster:   roster.New(s.Quiet),
 		changed:  make(chan struct{}),
@@ -127,6 +126,7 @@
 		poison:   poison.NewRegistry(poison.DefaultSettings()), poisonedAt: map[poison.Fingerprint]uint64{},
 		limits: pace.NewBook(),
 	}
+	c.replica = newReplica(s.Clock, c.noteLeaves)
 	c.announced = c.roster.Version()
 	c.asked = names(s.Seeds)
 	if err := c.open(); err != nil {
@@ -160,6 +160,7 @@
 		return err
 	}
 	c.voter.Store(v)
+	c.noteLoggedLeaves(v.Status())
 	return nil
 }
 
--- a/internal/core/restore_test.go
+++ b/internal/core/restore_test.go
@@ -16,6 +16,7 @@
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/internal/trace"
 	"poplarbend.example/poplar/pkg/disk"
+	"poplarbend.example/poplar/pkg/roster"
 	"poplarbend.example/poplar/pkg/wallet"
 )
 
@@ -33,14 +34,14 @@
 func TestRestoredStateTakesEveryCommand(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := &settable{now: time.UnixMilli(1_000_000)}
-		kept, restored := newReplica(clock), newReplica(clock)
+		kept, restored := newReplica(clock, noLeaves), newReplica(clock, noLeaves)
 		for n := range 60 {
 			data := encode(drawCommand(t))
 			index := poplar.Index(n + 1)
 			want := kept.Apply(index, data)
 			assert.Equal(t, string(restored.Apply(index, data)), string(want), "entry %d", index)
 			if n%3 == 2 {
-				next := newReplica(clock)
+				next := newReplica(clock, noLeaves)
 				assert.NilError(t, next.Restore(restored.Snapshot()))
 				restored = next
 			}
@@ -50,10 +51,17 @@
 }
 
 // drawCommand draws a command: a configuration, in which a workspace may have a budget or none,
-// or a draw of a router that may have restarted.
+// a leave of an upstream, or a draw of a router that may have restarted.
 func drawCommand(t *rapid.T) command {
 	workspaces := []poplar.Workspace{"a", "b", "c", "d"}
-	if rapid.IntRange(0, 3).Draw(t, "kind") == 0 {
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 1:
+		a := &roster.Announcement{
+			Name:  poplar.Upstream(rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "upstream")),
+			State: rapid.SampledFrom([]roster.State{roster.StateLeaving, roster.StateRemoved}).Draw(t, "state"), StartedAt: rapid.Int64Range(0, 5).Draw(t, "born"),
+		}
+		return command{Leave: a, At: rapid.Int64Range(0, 900_000).Draw(t, "at")}
+	case 0:
 		p := &put{Revision: poplar.Revision(rapid.IntRange(1, 40).Draw(t, "revision")), Document: []byte("{}"), Grants: map[poplar.Workspace]wallet.Grant{}}
 		p.Digest = fmt.Sprint("digest ", p.Revision)
 		for _, w := range workspaces {
--- a/internal/core/serve.go
+++ b/internal/core/serve.go
@@ -8,7 +8,6 @@
 	"poplarbend.example/poplar/internal/peer"
 	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/quorum"
-	"poplarbend.example/poplar/pkg/roster"
 	"poplarbend.example/poplar/pkg/wallet"
 )
 
@@ -18,10 +17,6 @@
 // second without an answer.
 const (
 	orderLimit = 900 * time.Millisecond
-	// spreadTime is the time that a change of an upstream's state has to reach
-	// the routers before it is acknowledged, so that the loss of this daemon
-	// does not lose it.
-	spreadTime = 25 * time.Millisecond
 	// watchedTime is the time after which a router that does not ask again
 	// counts as lost.
 	watchedTime = MaxPollTime + time.Second
@@ -159,40 +154,6 @@
 	}
 }
 
-// Hear takes an announcement of an upstream. A change that routers must act on
-// is acknowledged only once they had time to learn of it. It fails at a daemon
-// that is cut off from the log and from all routers.
-func (c *Core) Hear(ctx context.Context, n roster.Announcement) error {
-	changed, err := c.hear(n)
-	if err != nil || !changed {
-		return err
-	}
-	c.settings.Log.Info("upstream", "upstream", string(n.Name), "state", string(n.State), "service", string(n.Service),
-		"at", n.Address, "born", n.StartedAt, "sequence", n.Sequence)
-	if n.State == roster.StateReady {
-		return nil
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(spreadTime):
-	}
-	return nil
-}
-
-func (c *Core) hear(n roster.Announcement) (bool, error) {
-	led := c.led()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !led && !c.watched() {
-		return false, poplar.Failf(poplar.StepPeer, poplar.CodeUnreachable, "neither a leader nor a router is in reach")
-	}
-	changed := c.roster.Apply(n, c.settings.Clock.Now())
-	if changed && n.State != roster.StateReady {
-		c.announce()
-	}
-	return changed, nil
-}
-
 // watched reports whether a router has asked lately. The caller holds the lock.
 func (c *Core) watched() bool {
 	now := c.settings.Clock.Now()
--- a/internal/core/state.go
+++ b/internal/core/state.go
@@ -8,6 +8,7 @@
 
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/voter"
+	"poplarbend.example/poplar/pkg/roster"
 	"poplarbend.example/poplar/pkg/wallet"
 )
 
@@ -17,7 +18,9 @@
 type command struct {
 	Put  *put                `json:"put,omitempty"`
 	Draw *wallet.DrawRequest `json:"draw,omitempty"`
-	// At is the time of the log at which a draw arrived, in milliseconds.
+	// Leave is the announcement of an upstream that leaves.
+	Leave *roster.Announcement `json:"leave,omitempty"`
+	// At is the time of the log at which a draw or a leave arrived, in milliseconds.
 	At int64 `json:"at,omitempty"`
 	// Look changes nothing. Its place in the log makes the answer linearizable.
 	Look bool `json:"look,omitempty"`
@@ -60,7 +63,8 @@
 	Digest   string          `json:"digest,omitempty"`
 	Document []byte          `json:"text,omitempty"` // see Unpack
 	Book     *wallet.Budgets `json:"book"`
-	// Now is the latest time at which a draw arrived, in milliseconds. It only
+	Leaves   *roster.Leaves  `json:"leaves"`
+	// Now is the latest time at which a draw or a leave arrived, in milliseconds. It only
 	// grows, whichever member takes the draws.
 	Now int64 `json:"now,omitempty"`
 }
@@ -73,6 +77,9 @@
 	// passed is when this member learned of state.Now; guarded by mu.
 	passed time.Time
 	clock  poplar.Clock
+	// left is called with announcements of upstreams that leave, without the lock: with one
+	// after it was applied, with all after Restore.
+	left func([]roster.Announcement)
 	// applying is true while Apply holds the lock. After a panic Apply goes on holding
 	// it until Restore.
 	applying bool // invariant: used by the goroutine that applies only
@@ -80,10 +87,12 @@
 
 var _ voter.Applier = (*replica)(nil)
 
-func newReplica(clock poplar.Clock) *replica {
-	return &replica{state: image{Book: wallet.NewBudgets()}, news: make(chan struct{}), clock: clock, passed: clock.Now()}
+func newReplica(clock poplar.Clock, left func([]roster.Announcement)) *replica {
+	return &replica{state: newImage(), news: make(chan struct{}), clock: clock, passed: clock.Now(), left: left}
 }
 
+func newImage() image { return image{Book: wallet.NewBudgets(), Leaves: roster.NewLeaves()} }
+
 // now returns the time of the log, in milliseconds: that of the latest draw and
 // what has passed since, or the time of day if it is later. A time of day that is
 // set back does not hold it up, and it never falls behind what has passed.
@@ -99,7 +108,7 @@
 	r.mu.Lock()
 	r.applying = true
 	now, revision := r.state.Now, r.state.Revision
-	out := r.state.apply(data)
+	out, left := r.state.apply(data)
 	r.applying = false
 	if r.state.Now != now {
 		r.passed = r.clock.Now()
@@ -108,16 +117,19 @@
 		r.announce()
 	}
 	r.mu.Unlock()
+	if left != nil {
+		r.left([]roster.Announcement{*left})
+	}
 	return encode(out)
 }
 
-// apply executes a command. One that cannot be decoded changes nothing.
-func (i *image) apply(data []byte) reply {
+// apply executes a command. One that cannot be decoded changes nothing. It returns the
+// announcement of an upstream that was not known to leave.
+func (i *image) apply(data []byte) (out reply, left *roster.Announcement) {
 	var c command
-	var out reply
 	if err := json.Unmarshal(data, &c); err != nil {
 		out.Error = fmt.Sprintf("decode the command: %v", err)
-		return out
+		return out, nil
 	}
 	switch {
 	case c.Put != nil:
@@ -126,9 +138,14 @@
 		i.Now = max(i.Now, c.At)
 		drawn := i.Book.HandleDraw(*c.Draw, c.At)
 		out.Drawn = &drawn
+	case c.Leave != nil:
+		i.Now = max(i.Now, c.At)
+		if i.Leaves.Add(*c.Leave, c.At) {
+			left = c.Leave
+		}
 	}
 	out.Revision = i.Revision
-	return out
+	return out, left
 }
 
 func (i *image) put(p *put) Outcome {
@@ -169,26 +186,39 @@
 
 // Restore implements voter.Applier.
 func (r *replica) Restore(snapshot []byte, later ...voter.Command) error {
+	leaves, err := r.restore(snapshot, later)
+	if err == nil {
+		r.left(leaves)
+	}
+	return err
+}
+
+func (r *replica) restore(snapshot []byte, later []voter.Command) ([]roster.Announcement, error) {
 	if !r.applying {
 		r.mu.Lock()
 	}
 	r.applying = false
 	defer r.mu.Unlock()
-	state := image{}
+	state := newImage()
 	if len(snapshot) > 0 {
 		if err := json.Unmarshal(snapshot, &state); err != nil {
-			return fmt.Errorf("decode the snapshot: %w", err)
+			return nil, fmt.Errorf("decode the snapshot: %w", err)
 		}
 	}
-	if state.Book == nil {
-		state.Book = wallet.NewBudgets()
-	}
 	for _, c := range later {
 		state.apply(c.Data)
 	}
 	r.state, r.passed = state, r.clock.Now()
 	r.announce()
-	return nil
+	return state.Leaves.All(), nil
+}
+
+// ended reports whether an announcement is of a run of an upstream that has left.
+func (r *replica) ended(a roster.Announcement) bool {
+	now := r.now()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.state.Leaves.Ended(a, now)
 }
 
 // held returns the configuration in force and a channel that is closed at the
--- a/internal/proxy/view.go
+++ b/internal/proxy/view.go
@@ -103,7 +103,7 @@
 		for _, u := range old {
 			removed[u] = poison.EvidenceRefused
 			// Requests in progress may still refer to this upstream.
-			if left := u.leaving.Swap(true); !left && started[u.address] > u.startTime {
+			if left := u.leaving.Swap(true); !left && u.startTime != 0 && started[u.address] > u.startTime {
 				removed[u] = poison.EvidenceRestart
 			}
 			p.log.Info("upstream", "upstream", string(u.name), "state", string(roster.StateRemoved), "at", u.address, "service", string(u.service))
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -112,6 +112,14 @@
 	return changed
 }
 
+// StartedAt returns the start of the last known run of an upstream, or 0 if it is not known.
+func (r *Roster) StartedAt(name poplar.Upstream) int64 {
+	if rec := r.entries[name]; rec != nil {
+		return rec.entry.StartedAt
+	}
+	return 0
+}
+
 // addressTaken reports whether another upstream that started later uses the
 // address of a.
 func (r *Roster) addressTaken(a Announcement) bool {
