Let routers forget upstreams that have ended

Not seen in the field.

Cause: Union keeps what was removed, so that late announcements do not bring it back, and never forgets it.

Ruled out: forgetting what control daemons no longer list, since one that has just started lists little.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -141,15 +141,17 @@
 	retryMu      sync.Mutex
 	retryWindows map[poplar.Service]*retry.Window // invariant: guarded by retryMu
 
-	union     *roster.Union       // invariant: guarded by watcherMu; merged rosters of the control daemons
-	watchers  map[string]*watcher // invariant: guarded by watcherMu; keyed by peer address
-	watcherMu sync.Mutex
-	confirmer *confirmer    // invariant: guarded by watcherMu
-	confirmed atomic.Bool   // true once the configuration in use, or that there is none, was confirmed; see confirmer
-	fetchTurn chan struct{} // invariant: holds one value while a watcher fetches a configuration
-	ctx       context.Context
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	union *roster.Union // invariant: guarded by watcherMu; merged rosters of the control daemons
+	// sweepUnionAt is the time of the next sweep of union.
+	sweepUnionAt time.Time           // invariant: guarded by watcherMu
+	watchers     map[string]*watcher // invariant: guarded by watcherMu; keyed by peer address
+	watcherMu    sync.Mutex
+	confirmer    *confirmer    // invariant: guarded by watcherMu
+	confirmed    atomic.Bool   // true once the configuration in use, or that there is none, was confirmed; see confirmer
+	fetchTurn    chan struct{} // invariant: holds one value while a watcher fetches a configuration
+	ctx          context.Context
+	stop         context.CancelFunc
+	done         sync.WaitGroup
 }
 
 // New returns a router that is not started.
@@ -313,6 +315,7 @@
 	p.updateGroups()
 	p.suspects.sweep(time.Now())
 	p.paces.sweep(time.Now())
+	p.sweepUpstreams(time.Now())
 	accepting := map[string]bool{}
 	for _, group := range p.view.Load().services {
 		for _, u := range group {
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -29,6 +29,8 @@
 	// configuration. After that it fetches as well, since the other daemon may
 	// have stopped responding.
 	fetchTurnWait = 200 * time.Millisecond
+	// unionSweepPeriod is the time between two looks for upstreams to forget.
+	unionSweepPeriod = 15 * time.Second
 )
 
 // watcher polls one control daemon.
@@ -241,6 +243,17 @@
 	p.setUpstreams(p.union.Entries())
 }
 
+// sweepUpstreams forgets upstreams that have ended.
+func (p *Proxy) sweepUpstreams(now time.Time) {
+	p.watcherMu.Lock()
+	defer p.watcherMu.Unlock()
+	if now.Before(p.sweepUnionAt) {
+		return
+	}
+	p.sweepUnionAt = now.Add(unionSweepPeriod)
+	p.union.Sweep(now)
+}
+
 // confirm adds an answer to the decision on what a router that has just started
 // serves, and applies the configuration once there is one.
 func (w *watcher) confirm(resp core.WatchResponse) {
--- a/pkg/poison/midstream_test.go
+++ b/pkg/poison/midstream_test.go
@@ -73,39 +73,39 @@
 
 // send lets a caller send a request to a router. If it is refused, the caller comes back once,
 // unless the time that it is told is too long.
-func (f *midstreamFleet) send(router int, print Fingerprint, left int, again bool) {
-	if print != poisonousPrint && !again {
+func (f *midstreamFleet) send(router int, fp Fingerprint, left int, again bool) {
+	if fp != poisonousPrint && !again {
 		f.sound++
 	}
-	verdict, until := f.routers[router].Check(print, at(f.now))
+	verdict, until := f.routers[router].Check(fp, at(f.now))
 	wait := until.Sub(at(f.now))
 	switch {
 	case verdict != Refused:
-		f.request(router, print, 0, left)
+		f.request(router, fp, 0, left)
 	case !again && wait <= longestWait:
-		f.after(int(wait.Milliseconds())+midstreamStep, func() { f.send(f.random.IntN(len(f.routers)), print, left, true) })
-	case print != poisonousPrint:
+		f.after(int(wait.Milliseconds())+midstreamStep, func() { f.send(f.random.IntN(len(f.routers)), fp, left, true) })
+	case fp != poisonousPrint:
 		f.refused++
 	}
 }
 
 // request lets a router run a request. The time is what is left of its answer.
-func (f *midstreamFleet) request(router int, print Fingerprint, attempts, left int) {
-	if verdict, _ := f.routers[router].Check(print, at(f.now)); verdict == Refused {
+func (f *midstreamFleet) request(router int, fp Fingerprint, attempts, left int) {
+	if verdict, _ := f.routers[router].Check(fp, at(f.now)); verdict == Refused {
 		return
 	}
 	upstream := f.random.IntN(f.upstreams)
 	for n := 0; f.down[upstream] > f.now; n++ {
 		if n == f.upstreams {
-			f.after(100, func() { f.request(router, print, attempts, left) })
+			f.after(100, func() { f.request(router, fp, attempts, left) })
 			return
 		}
 		upstream = (upstream + 1) % f.upstreams
 	}
-	if print == poisonousPrint && len(f.crashes) >= 3 && f.now > f.crashes[2]+contactTime {
+	if fp == poisonousPrint && len(f.crashes) >= 3 && f.now > f.crashes[2]+contactTime {
 		f.late++
 	}
-	f.running = append(f.running, midstreamRun{print, router, upstream, attempts + 1, f.now, left})
+	f.running = append(f.running, midstreamRun{fp, router, upstream, attempts + 1, f.now, left})
 }
 
 // crash ends an upstream and all that runs there.
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -180,7 +180,7 @@
 	for _, r := range records {
 		before, known := reg.records[r.Fingerprint]
 		after := reg.merge(r)
-		if (needed(before) || needed(after)) && !(known && equalRecords(before, after)) {
+		if changed := !known || !equalRecords(before, after); changed && (needed(before) || needed(after)) {
 			out = append(out, after)
 		}
 	}
--- a/pkg/roster/leaves_test.go
+++ b/pkg/roster/leaves_test.go
@@ -51,7 +51,7 @@
 // upstream that is kept out when it returns.
 func TestUpstreamsLeaveAndReturnAllDay(t *testing.T) {
 	leaves := NewLeaves()
-	playDay(func(now time.Time, a Announcement) {
+	playHours(24, func(now time.Time, a Announcement) {
 		if a.State == StateReady {
 			assert.Assert(t, !leaves.Ended(a, now.UnixMilli()), "%s is kept out", a.Name)
 			return
@@ -67,12 +67,12 @@
 
 const dayUpstreams = 3000
 
-// playDay calls announce for each announcement of upstreams that leave after 20 minutes and return
-// after 10 seconds, for a day, and end after all have left.
-func playDay(announce func(time.Time, Announcement), end func(time.Time)) {
+// playHours calls announce for each announcement of upstreams that leave after 20 minutes and
+// return after 10 seconds, and end after all have left.
+func playHours(hours int, announce func(time.Time, Announcement), end func(time.Time)) {
 	const away, stay = 10 * time.Second, 20 * time.Minute
 	now := time.UnixMilli(1_000_000_000)
-	for round := range int(24 * time.Hour / (away + stay)) {
+	for round := range int(time.Duration(hours) * time.Hour / (away + stay)) {
 		var list []Announcement
 		for i := range dayUpstreams {
 			a := Announcement{
--- a/pkg/roster/union.go
+++ b/pkg/roster/union.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"poplarbend.example/poplar"
 )
@@ -12,11 +13,19 @@
 	// sources contains the last list received from each control daemon.
 	sources map[string]map[poplar.Upstream]Entry
 	merged  map[poplar.Upstream]Entry
+	// forgetAt holds the upstreams that have ended, and when to forget them.
+	forgetAt map[poplar.Upstream]time.Time
 }
 
+// endedRetention is how long a Union remembers an upstream that has ended. It exceeds the time
+// for which a control daemon lists it.
+const endedRetention = retention + time.Minute
+
 // NewUnion returns an empty union.
 func NewUnion() *Union {
-	return &Union{sources: map[string]map[poplar.Upstream]Entry{}, merged: map[poplar.Upstream]Entry{}}
+	return &Union{
+		sources: map[string]map[poplar.Upstream]Entry{}, merged: map[poplar.Upstream]Entry{}, forgetAt: map[poplar.Upstream]time.Time{},
+	}
 }
 
 // SetSource replaces the list of a source, which is a control daemon. An
@@ -51,20 +60,47 @@
 // whether they are silent.
 func (u *Union) RemoveSource(source string) { delete(u.sources, source) }
 
-// Entries returns the merged list without ended upstreams. An upstream is
-// silent if a source reports it as silent and no source had recent contact. If
-// several upstreams have the same address, only the one that started last is
-// returned.
-func (u *Union) Entries() []Entry {
-	byAddress := map[string]Entry{}
+// Sweep forgets upstreams that have ended some time ago: those that were removed, and those
+// whose address a later one has. It is called every few seconds.
+func (u *Union) Sweep(now time.Time) {
+	latest := u.latestByAddress()
+	for name, e := range u.merged {
+		at, ended := u.forgetAt[name]
+		switch {
+		case latest[e.Address].Name == name && e.State != StateRemoved:
+			delete(u.forgetAt, name)
+		case !ended:
+			u.forgetAt[name] = now.Add(endedRetention)
+		case !now.Before(at):
+			delete(u.forgetAt, name)
+			delete(u.merged, name)
+			for _, list := range u.sources {
+				delete(list, name)
+			}
+		}
+	}
+}
+
+// latestByAddress returns the upstreams that have not ended.
+func (u *Union) latestByAddress() map[string]Entry {
+	latest := map[string]Entry{}
 	for _, e := range u.merged {
 		if e.State == StateRemoved {
 			continue
 		}
-		if other, ok := byAddress[e.Address]; !ok || e.StartedAt > other.StartedAt {
-			byAddress[e.Address] = e
+		if other, ok := latest[e.Address]; !ok || e.StartedAt > other.StartedAt {
+			latest[e.Address] = e
 		}
 	}
+	return latest
+}
+
+// Entries returns the merged list without ended upstreams. An upstream is
+// silent if a source reports it as silent and no source had recent contact. If
+// several upstreams have the same address, only the one that started last is
+// returned.
+func (u *Union) Entries() []Entry {
+	byAddress := u.latestByAddress()
 	list := make([]Entry, 0, len(byAddress))
 	for _, e := range byAddress {
 		e.Silent = u.silent(e)
