Tell restarted control daemons of crashes and limits again

What callers would see: after control daemons have restarted, a router that starts is told of no request that crashes upstreams and of no limit that an upstream has named, though routers had reported both. Not seen in the field.

Cause: both live in the memory of each control daemon, and routers report them once.

Change: a router that hears of a new start of a control daemon tells it what it knows.

TestRestartedDaemonIsToldAgain failed before (the daemon was told nothing) and passes in three runs with the race detector.

Ruled out: entries of the log for crash records. There may be one for each stream in flight, at a moment at which upstreams are lost.

--- a/internal/proxy/paces.go
+++ b/internal/proxy/paces.go
@@ -100,6 +100,16 @@
 	return records
 }
 
+// limits returns all limits that upstreams have named to any router.
+func (p *paces) limits() []pace.Limit {
+	if !p.asked.Load() {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.book.Limits()
+}
+
 func (p *paces) sweep(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -163,6 +163,16 @@
 	return s.registry.RecordAnswered(fingerprints, now)
 }
 
+// all returns the records with the latest news, at most the given number.
+func (s *suspects) all(most int) []poison.Record {
+	if !s.nonEmpty() {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Records(most)
+}
+
 // learn merges the records of other routers.
 func (s *suspects) learn(records []poison.Record) {
 	s.mu.Lock()
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -8,7 +8,9 @@
 	"poplarbend.example/poplar"
 	"poplarbend.example/poplar/internal/core"
 	"poplarbend.example/poplar/internal/peer"
+	"poplarbend.example/poplar/pkg/pace"
 	"poplarbend.example/poplar/pkg/plan"
+	"poplarbend.example/poplar/pkg/poison"
 	"poplarbend.example/poplar/pkg/quorum"
 )
 
@@ -42,6 +44,7 @@
 	lost        bool       // invariant: true if the last call failed; written only by loop, with Proxy.watcherMu held
 	leads       bool       // invariant: true if the last response came from the leader of the log; written like lost
 	routers     []string   // the last list of routers that the daemon sent
+	told        uint64     // invariant: the incarnation of the daemon that knows what this router had to tell when it first answered
 }
 
 // AddSeeds adds the addresses of control daemons and starts to watch them. Known
@@ -137,6 +140,9 @@
 		return false
 	}
 	w.markAnswered(resp)
+	if resp.Incarnation != w.told && w.tellKnown() {
+		w.told = resp.Incarnation
+	}
 	if resp.Incarnation != req.Incarnation || resp.Roster != req.Roster {
 		w.mergeRoster(resp)
 	}
@@ -159,6 +165,27 @@
 	return true
 }
 
+// mostTold bounds the records of crashes that a daemon which has restarted is told at once.
+const mostTold = 256
+
+// tellKnown tells a control daemon that has just started what routers had reported to it
+// before, which it keeps in memory only: requests that crash upstreams and limits of
+// upstreams. It reports whether the daemon has heard it.
+func (w *watcher) tellKnown() bool {
+	p, to := w.proxy, peer.Seed(w.address)
+	var err error
+	if records := p.suspects.all(mostTold); len(records) > 0 {
+		_, err = peer.CallWithin[[]poison.Record, struct{}](p.ctx, reportTimeout, p.pool, to, core.OpPoison, records)
+	}
+	if limits := p.paces.limits(); err == nil && len(limits) > 0 {
+		_, err = peer.CallWithin[[]pace.Limit, struct{}](p.ctx, reportTimeout, p.pool, to, core.OpLimits, limits)
+	}
+	if err != nil {
+		p.log.Info("crashes and limits not told to control daemon", "at", w.address, "error", err)
+	}
+	return err == nil
+}
+
 // markLost records that a call failed. The control daemon no longer counts in the
 // decision whether an upstream is silent, until it has sent its whole roster
 // again.
