Let leaves arrive while the disk of one daemon hangs

A leave is acknowledged by a majority, so it was to be shown what one disk does that hangs.

Ruled out: giving up the lead on purpose when a majority is ahead of the own disk.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	servers map[string]*httptest.Server
 	pools   map[string]*peer.Pool
 	disks   map[string]*disk.Memory
+	gates   map[string]*sync.RWMutex // syncs of the disk wait while its gate is locked
 	losses  int
 }
 
@@ -49,7 +51,7 @@
 func newFleetWithLosses(t *testing.T, size, losses int) *fleet {
 	f := &fleet{
 		t: t, losses: losses, cores: map[string]*Core{}, servers: map[string]*httptest.Server{}, pools: map[string]*peer.Pool{},
-		disks: map[string]*disk.Memory{},
+		disks: map[string]*disk.Memory{}, gates: map[string]*sync.RWMutex{},
 	}
 	var listeners []net.Listener
 	for range size {
@@ -76,11 +78,11 @@
 	logger, err := trace.New(io.Discard, "error", poplar.Daemon(address))
 	assert.NilError(f.t, err)
 	if f.disks[address] == nil {
-		f.disks[address] = disk.NewMemory()
+		f.disks[address], f.gates[address] = disk.NewMemory(), &sync.RWMutex{}
 	}
 	f.pools[address] = peer.NewPool(poplar.Daemon(address), "", nil)
 	c, err := Start(Settings{
-		Address: address, Seeds: f.seeds, First: first, Files: f.disks[address], Losses: f.losses, Quiet: time.Second, Clock: poplar.System{}, Log: logger,
+		Address: address, Seeds: f.seeds, First: first, Files: gatedFiles{f.disks[address], f.gates[address]}, Losses: f.losses, Quiet: time.Second, Clock: poplar.System{}, Log: logger,
 	}, f.pools[address])
 	assert.NilError(f.t, err)
 	f.cores[address] = c
--- a/internal/core/leave_test.go
+++ b/internal/core/leave_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -123,3 +125,66 @@
 	}
 	return strings.Join(append(list, "-")[:max(len(list), 1)], " ")
 }
+
+// gatedFiles is a disk whose syncs wait while its gate is locked.
+type gatedFiles struct {
+	*disk.Memory
+	gate *sync.RWMutex
+}
+
+func (g gatedFiles) Create(name string) (poplar.File, error) { return g.wrap(g.Memory.Create(name)) }
+
+func (g gatedFiles) Append(name string) (poplar.File, error) { return g.wrap(g.Memory.Append(name)) }
+
+func (g gatedFiles) wrap(file poplar.File, err error) (poplar.File, error) {
+	return gatedFile{file, g.gate}, err
+}
+
+type gatedFile struct {
+	poplar.File
+	gate *sync.RWMutex
+}
+
+// Sync implements poplar.File.
+func (f gatedFile) Sync() error {
+	f.gate.RLock()
+	defer f.gate.RUnlock()
+	return f.File.Sync()
+}
+
+// TestLeaveDoesNotWaitForOneDisk lets the disk of one daemon hang, be it the leader's or not, and an
+// upstream leave at each daemon in turn until one acknowledges it. It guards against
+// acknowledgements that wait for the slowest daemon, and against calls that never end.
+func TestLeaveDoesNotWaitForOneDisk(t *testing.T) {
+	for _, leader := range []bool{true, false} {
+		t.Run(fmt.Sprint("leader ", leader), func(t *testing.T) {
+			t.Parallel()
+			p := &leavePlay{fleet: newFleet(t, 3)}
+			p.declare(p.seeds[0], 1, "one")
+			hung := ""
+			p.await("a leader that all know", func() bool {
+				for _, a := range p.seeds {
+					if s := p.cores[a].Stats(); !s.Led || s.Voters != 3 {
+						return false
+					} else if s.Leads == leader {
+						hung = a
+					}
+				}
+				return hung != ""
+			})
+			p.gates[hung].Lock()
+			defer p.gates[hung].Unlock()
+			for i, first := range p.seeds {
+				n := roster.Announcement{Name: poplar.Upstream(fmt.Sprint("up", i)), State: roster.StateRemoved, StartedAt: 1, Sequence: 1}
+				at := first
+				p.await("an acknowledgement", func() bool {
+					if p.cores[at].Hear(context.Background(), n) == nil {
+						return true
+					}
+					at = p.seeds[(slices.Index(p.seeds, at)+1)%len(p.seeds)]
+					return false
+				})
+			}
+		})
+	}
+}
