--- a/internal/core/leave_test.go
+++ b/internal/core/leave_test.go
@@ -79,22 +79,27 @@
 		case "refused":
 			// Without a leader and without a router it does not even hear.
 			p.watch(address)
-			assert.Assert(p.t, p.hear(address, words[2:]) != nil, "%v", words)
+			assert.Assert(p.t, p.announce(address, words[2:]) != nil, "%v", words)
 		default:
-			p.await(strings.Join(words, " "), func() bool { return p.hear(address, words[1:]) == nil })
+			p.await(strings.Join(words, " "), func() bool { return p.announce(address, words[1:]) == nil })
 		}
 	}
 }
 
-// hear lets an announcement arrive at a daemon.
-func (p *leavePlay) hear(address string, words []string) error {
+// announce lets an announcement of a case arrive at a daemon.
+func (p *leavePlay) announce(address string, words []string) error {
 	p.t.Helper()
 	born, err := strconv.ParseInt(words[1], 10, 64)
 	assert.NilError(p.t, err)
+	return p.hear(address, "up", roster.State(words[0]), born)
+}
+
+// hear lets an announcement arrive at a daemon.
+func (p *leavePlay) hear(address, name string, state roster.State, born int64) error {
 	p.sequence++
-	n := roster.Announcement{Name: "up", StartedAt: born, Sequence: p.sequence, State: roster.State(words[0])}
-	if n.State != roster.StateRemoved {
-		n.Service, n.Address, n.Domain = "s", "127.0.0.1:9", "d"
+	n := roster.Announcement{Name: poplar.Upstream(name), StartedAt: born, Sequence: p.sequence, State: state}
+	if state != roster.StateRemoved {
+		n.Service, n.Address, n.Domain = "s", name+":9", "d"
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
