--- a/pkg/poison/midstream_test.go
+++ b/pkg/poison/midstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -15,6 +16,9 @@
 	"poplarbend.example/poplar"
 )
 
+// midstreamSeeds is the number of seeds of each load.
+var midstreamSeeds = flag.Uint64("midstream.seeds", 8, "number of seeds of each load of TestRequestThatCrashesInMidStreamIsRefused")
+
 const (
 	midstreamStep   = 5               // milliseconds of a step of the simulation
 	midstreamSends  = 10              // of the poisonous request
@@ -235,11 +239,11 @@
 		l.routerCount = routers
 		t.Run(strings.Join(strings.Fields(text), " "), func(t *testing.T) {
 			t.Parallel()
-			for seed := range uint64(8) {
+			for seed := range *midstreamSeeds {
 				f := l.play(seed)
 				t.Logf("seed %d: %d crashes, %d late, %d of %d sound requests refused", seed, len(f.crashes), f.late, f.refused, f.sound)
-				assert.Assert(t, f.late <= mostLate, "seed %d: %d runs were sent too late, %d crashes", seed, f.late, len(f.crashes))
-				assert.Assert(t, float64(f.refused) <= mostDenied+float64(f.sound)/deniedShare, "seed %d: %d of %d sound requests were refused",
+				assert.Check(t, f.late <= mostLate, "seed %d: %d runs were sent too late, %d crashes", seed, f.late, len(f.crashes))
+				assert.Check(t, float64(f.refused) <= mostDenied+float64(f.sound)/deniedShare, "seed %d: %d of %d sound requests were refused",
 					seed, f.refused, f.sound)
 			}
 		})
