Wait for the probe after a second broken response

A request that may be sent to more than two upstreams and crashes each within milliseconds was sent to all of them before the first probe had shown a crash: 6 of 6 upstreams ended with one request.

Change: a request whose responses broke off twice waits 50 ms like a suspect before its next attempt, and ends there if it has crashed three.

TestRequestThatCrashedThreeUpstreamsIsNotSentOn failed before (all six upstreams crashed) and passes in eight runs with the race detector.

Ruled out: the wait after the first broken response. Most requests whose answer breaks off once are sound, and their callers wait.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -60,6 +60,7 @@
 	tried         map[*upstream]bool
 	sends         int         // invariant: number of times that the request may have reached an upstream
 	runs          int         // invariant: number of times that an upstream may have run it
+	broken        int         // invariant: number of responses that broke off
 	retryTaken    bool        // invariant: true if the next retry is already counted
 	resumeBy      time.Time   // invariant: end of the wait for a resume, or zero before the first wait
 	unreached     int         // invariant: number of upstreams to which no connection could be made
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -28,8 +28,8 @@
 	// begunEvents is the number of delivered events from which a stream counts as
 	// begun, so that its parts do not crash upstreams.
 	begunEvents = 2
-	// suspectPause is how long a request with a record waits after a broken response,
-	// before it is sent to another upstream. It covers the first try of a probe.
+	// suspectPause is how long a request that may crash upstreams waits after a broken
+	// response, before it is sent to another one. It covers the first try of a probe.
 	suspectPause = 50 * time.Millisecond
 	// reportTimeout limits a report to a control daemon, and reportPeriod is
 	// the longest delay of a report.
@@ -252,6 +252,7 @@
 // recordBroken records that the response of an upstream broke off after the given number
 // of events, and probes the upstream if that may have been a crash.
 func (x *exchange) recordBroken(u *upstream, events int) {
+	x.broken++
 	b := poison.Break{
 		Fingerprint: x.fingerprint(), Parts: x.partFingerprints(), PartsAnswered: x.events >= begunEvents, Begun: events > 0, At: time.Now(),
 	}
@@ -263,15 +264,15 @@
 }
 
 // mustEnd reports whether a request whose response broke off must not be sent to another
-// upstream because it has crashed several. A suspect waits for what the probe of the last
-// upstream shows.
+// upstream because it has crashed several. A suspect, or a request whose responses broke off
+// before, waits for what the probe of the last upstream shows.
 func (x *exchange) mustEnd() bool {
-	if !x.p.suspects.nonEmpty() {
+	if x.broken < 2 && !x.p.suspects.nonEmpty() {
 		return false
 	}
 	fp := x.fingerprint()
 	known, refused := x.p.suspects.known(fp, time.Now())
-	if known && !refused && sleep(x.ctx, suspectPause) {
+	if (known || x.broken >= 2) && !refused && sleep(x.ctx, suspectPause) {
 		_, refused = x.p.suspects.known(fp, time.Now())
 	}
 	return refused
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,6 +79,72 @@
 	assert.Assert(t, crash.Begun)
 }
 
+// mortal is an upstream that ends after three events of its first answer.
+type mortal struct {
+	listener net.Listener
+	ended    atomic.Bool
+}
+
+func (m *mortal) run() {
+	conn, err := m.listener.Accept()
+	m.listener.Close()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	m.ended.Store(true)
+	after, _ := strconv.Atoi(req.Header.Get("After"))
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: a\r\nContent-Type: text/event-stream\r\n\r\n", req.Header.Get("Id"))
+	for i := 1; i <= 3; i++ {
+		fmt.Fprintf(conn, "id: %d\ndata: %d\n\n", after+i, after+i)
+	}
+	fmt.Fprint(conn, "id: ")
+}
+
+// TestRequestThatCrashedThreeUpstreamsIsNotSentOn sends a resumable request that may be sent to six
+// upstreams and crashes each of them in the middle of its answer. It guards against an attempt
+// that goes on before the crash of the last upstream is known.
+func TestRequestThatCrashedThreeUpstreamsIsNotSentOn(t *testing.T) {
+	h := newHarness(t, script{"former": {"ok"}})
+	p := testPlan()
+	p.Revision = 2
+	for i := range p.Routes {
+		p.Routes[i].MaxAttempts = 6
+	}
+	h.proxy.applyPlan(p)
+	var upstreams []*mortal
+	var entries []roster.Entry
+	for i := range 6 {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		m := &mortal{listener: listener}
+		defer listener.Close()
+		go m.run()
+		upstreams = append(upstreams, m)
+		entries = append(entries, roster.Entry{Announcement: roster.Announcement{
+			Name: poplar.Upstream(strconv.Itoa(i)), Service: "s", Address: listener.Addr().String(), Domain: "d", Slots: 8, State: roster.StateReady,
+		}})
+	}
+	h.proxy.setUpstreams(entries)
+	for range 3 {
+		h.call(t.Context(), http.MethodPost, "resumable", "k", "Id", "1")
+		time.Sleep(2 * suspectPause)
+	}
+	got := h.call(t.Context(), http.MethodPost, "resumable", "k", "Id", "1")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	ended := 0
+	for _, m := range upstreams {
+		if m.ended.Load() {
+			ended++
+		}
+	}
+	assert.Assert(t, ended < len(upstreams), "all upstreams crashed")
+}
+
 // upstreamThatEnds makes an upstream the only one that reads a request, writes the given bytes
 // and ends. Its error comes on the channel.
 func (h *harness) upstreamThatEnds(answer string) <-chan error {
