Review: a part of prompts crashes servers again and again

Cause: the second event of an answer clears the parts of its prompt, also where the server crashes right after it.

--- a/review/rig3/engine.go
+++ b/review/rig3/engine.go
@@ -32,6 +32,10 @@
 	work    time.Duration // before the answer
 	// handler answers the requests that run, if it is set.
 	handler func(w http.ResponseWriter, r *http.Request, id string, body []byte)
+	// poison crashes the engine and reports true for some requests, if it is set.
+	poison func(w http.ResponseWriter, r *http.Request, e *engine) bool
+	down   bool
+	starts int
 
 	server *http.Server
 	done   chan struct{}
@@ -59,21 +63,25 @@
 	e.born = time.Now().UnixMilli()
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go e.run(l)
-	go e.loop()
+	go e.loop(e.done)
 	return nil
 }
 
 func (e *engine) run(l net.Listener) { _ = e.server.Serve(l) }
 
 func (e *engine) close() {
-	if e.server != nil {
-		close(e.done)
-		_ = e.server.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.server == nil || e.down {
+		return
 	}
+	e.down = true
+	close(e.done)
+	_ = e.server.Close()
 }
 
 // loop announces the engine to one control daemon after the other until one acknowledges.
-func (e *engine) loop() {
+func (e *engine) loop(done chan struct{}) {
 	for turn := 0; ; {
 		for range 3 {
 			if e.announce(e.rig.seeds()[turn%3]) == http.StatusOK {
@@ -82,7 +90,7 @@
 			turn++
 		}
 		select {
-		case <-e.done:
+		case <-done:
 			return
 		case <-time.After(1200 * time.Millisecond):
 		}
@@ -126,6 +134,9 @@
 	h.Set("Poplarbend-Instance-Load", fmt.Sprintf("%d,0,%d", running, e.slots))
 	h.Set("Poplarbend-Response-Seal", "seal."+e.id+"."+id)
 	defer e.end()
+	if e.poison != nil && e.poison(w, r, e) {
+		panic(http.ErrAbortHandler)
+	}
 	time.Sleep(e.work)
 	if e.handler != nil {
 		e.handler(w, r, id, body)
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -21,6 +21,7 @@
 type play func(r *rig) (broken bool, err error)
 
 var plays = map[string]play{
+	"poison": playPoison,
 	"memory": playMemory,
 	"claims": playClaims,
 	"budget": playBudget,
--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -27,7 +27,7 @@
 	memoryShort   = 8
 	memoryHead    = 400 // the most bytes of the rest of the head
 	memoryClients = 8
-	memoryTime    = 90 * time.Second
+	memoryTime    = 100 * time.Second
 	// memoryLook is the time between two looks of the platform at the memory of a process,
 	// and memoryPause the time until it starts one again.
 	memoryLook  = 50 * time.Millisecond
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -27,6 +27,7 @@
 	network string // the first three numbers of all addresses
 	ports   ports
 	client  *http.Client
+	patient *http.Client // without a time limit
 
 	mu        sync.Mutex
 	record    *os.File
@@ -56,7 +57,8 @@
 	}
 	r := &rig{
 		trouble: trouble, started: time.Now(), memory: frontMemory, folder: folder, record: file,
-		client: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+		client:  &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
+		patient: &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}},
 	}
 	for range 50 {
 		r.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
