Review: names of prompt parts fill the memory of routers

Cause: a router keeps up to 512 names of parts for each upstream, whatever their length, and no account counts them.

--- a/review/rig3/memory.go
+++ b/review/rig3/memory.go
@@ -26,7 +26,7 @@
 	memoryLong    = 15 << 10
 	memoryShort   = 8
 	memoryHead    = 400 // the most bytes of the rest of the head
-	memoryClients = 8
+	memoryClients = 32
 	memoryTime    = 100 * time.Second
 	// memoryLook is the time between two looks of the platform at the memory of a process,
 	// and memoryPause the time until it starts one again.
