--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -21,10 +21,10 @@
 type play func(r *rig) (broken bool, err error)
 
 var plays = map[string]play{
+	"forget": playForget,
 	"poison": playPoison,
 	"memory": playMemory,
 	"claims": playClaims,
-	"budget": playBudget,
 }
 
 func main() { os.Exit(start()) }
--- a/review/rig3/poison.go
+++ b/review/rig3/poison.go
@@ -46,6 +46,11 @@
 	if !strings.Contains(q.Header.Get("Poplarbend-Prefix-Hash"), poisonPart) {
 		return false
 	}
+	return p.crash(w, q, e)
+}
+
+// crash writes the first events of an answer and ends the server.
+func (p *poisonWatch) crash(w http.ResponseWriter, q *http.Request, e *engine) bool {
 	id := q.Header.Get("Poplarbend-Attempt-Id")
 	p.mu.Lock()
 	p.arrivals = append(p.arrivals, time.Now())
@@ -121,7 +126,7 @@
 			for n := 0; !stop.Load(); n++ {
 				second := int(time.Since(begin).Seconds())
 				id := fmt.Sprintf("sound-%d-%d", i, n)
-				watch.sound(second, r.prompt(routers[i%poisonRouters], id, fmt.Sprintf("aa:100,%x:50", n)))
+				watch.sound(second, r.prompt(routers[i%poisonRouters], id, fmt.Sprintf("aa:100,%x:50", n), "prompt of "+id))
 				time.Sleep(soundPause)
 			}
 		})
@@ -129,7 +134,8 @@
 	for n := 0; time.Since(begin) < poisonTime; n++ {
 		if r.trouble {
 			wait.Go(func() {
-				r.prompt(routers[n%poisonRouters], fmt.Sprintf("poison-%d", n), fmt.Sprintf("aa:100,%s:80,%x:50", poisonPart, n))
+				id := fmt.Sprintf("poison-%d", n)
+				r.prompt(routers[n%poisonRouters], id, fmt.Sprintf("aa:100,%s:80,%x:50", poisonPart, n), "prompt of "+id)
 			})
 		}
 		time.Sleep(poisonPause)
@@ -172,10 +178,10 @@
 	}()
 }
 
-// prompt sends a request whose prompt has the given parts, with a body of its own, and reports
-// whether it was answered whole.
-func (r *rig) prompt(p *process, id, parts string) bool {
-	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/stream/x", p.address, r.ports.callers), strings.NewReader("prompt of "+id))
+// prompt sends a request whose prompt has the given parts, and reports whether it was answered
+// whole.
+func (r *rig) prompt(p *process, id, parts, body string) bool {
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d/stream/x", p.address, r.ports.callers), strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -191,6 +197,6 @@
 		return false
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return err == nil && resp.StatusCode == http.StatusOK && strings.Count(string(body), "\n\n") == events(soundOutput)
+	answer, err := io.ReadAll(resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK && strings.Count(string(answer), "\n\n") == events(soundOutput)
 }
