Review: name the record in the scripts of the cases

Cause: the scripts of cases 11, 12, 14 and 15 handed over their folder and left the name of record.txt to rig3, so they did not name it.

--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -29,14 +28,14 @@
 
 func main() { os.Exit(start()) }
 
-// start plays the case that the first argument names, for the folder in the second. The
-// environment variable TROUBLE=0 leaves the disruption out.
+// start plays the case that the first argument names, and writes what happens to the file that
+// the second names. The environment variable TROUBLE=0 leaves the disruption out.
 func start() int {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig3 CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: rig3 CASE RECORD")
 		return exitFailed
 	}
-	r, err := newRig(filepath.Join(os.Args[2], "record.txt"), os.Getenv("TROUBLE") != "0")
+	r, err := newRig(os.Args[2], os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "rig3:", err)
 		return exitFailed
