Withhold statuses that promise what an upstream did not state

Callers saw: a claim that ran is answered with the server's own 503, which promises that it has not run.

Cause: a router took "not run" only from the upstream's statement, but delivered any other failure of a request that may run once unchanged, also with 408, 429 or 503. The router's choice of 503 was not on that path.

Change: pkg/reply decides for every answer by its status, the statement, the seal, the kind of request and the earlier attempts. An answer that promises without the statement becomes 502 of the router, at once; the log lines keep the upstream's status and a counter counts them.

Ruled out: internal/edge, where the body's run state is the promise and a call that may run once is keyed. TestFailureAfterRunRunsOnce held before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"poplarbend.example/poplar/internal/conns"
 	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/plan"
+	"poplarbend.example/poplar/pkg/reply"
 )
 
 // A request is sent to one upstream after another until one of them completes
@@ -67,6 +69,9 @@
 	resultFailed
 	// resultEnded: the caller disconnected or the deadline passed.
 	resultEnded
+	// resultWithheld: the upstream answered with a status that promises that the request was
+	// not run, and did not state that.
+	resultWithheld
 )
 
 // serve sends the request to upstreams until a response is delivered. It
@@ -107,6 +112,8 @@
 			if refusals++; refusals >= maxRefusals {
 				return x.exhausted("too many upstreams refused the request")
 			}
+		case resultWithheld:
+			return x.exhausted("an answer that does not state whether the request was run is withheld")
 		case resultBroken, resultFailed:
 			if !x.route.Kind.Repeatable() || x.runs >= x.route.MaxAttempts {
 				return x.exhausted("no complete response from the upstream")
@@ -230,12 +237,12 @@
 	}
 	if outcome != resultDone {
 		x.p.log.Info("attempt", "id", x.env.ID, "upstream", string(u.name), "result", resultNames[outcome], "reused", conn.Reused(),
-			"events", x.events, "error", a.err, "ms", time.Since(now).Milliseconds())
+			"events", x.events, "status", a.status, "error", a.err, "ms", time.Since(now).Milliseconds())
 	}
 	return outcome
 }
 
-var resultNames = [...]string{"done", "unsent", "refused", "broken", "failed", "ended"}
+var resultNames = [...]string{"done", "unsent", "refused", "broken", "failed", "ended", "withheld"}
 
 // cachedTokens estimates how many tokens of the prompt are cached at u.
 func (x *exchange) cachedTokens(u *upstream) poplar.Tokens {
@@ -308,6 +315,7 @@
 	firstEventAt time.Time // zero before the first event
 	eventsBefore int       // events of the exchange up to the first one of this attempt
 	gotFirstByte bool      // invariant: true once the first byte was received
+	status       int       // of the response; 0 before its header was received
 	complete     bool      // invariant: true once the response was read to its end
 	err          error
 	ended        sync.Once // whose function tells the upstream's counters
@@ -355,10 +363,7 @@
 	x := a.x
 	dialect := x.p.settings.Dialect
 	resp, err := a.call.Answer(x.r.Method, func(resp *http.Response) bool { //nolint:bodyclose // see below
-		// On a connection that has carried another request, an answer without an
-		// id may be a late second answer to that one.
-		id := dialect.Head(resp).ID
-		return id == x.env.ID || id == "" && !a.reused
+		return reply.Answers(dialect.Head(resp).ID, x.env.ID, a.reused)
 	})
 	if err != nil {
 		a.err = err
@@ -367,37 +372,54 @@
 	// The body is not closed, since Close reads it to its end, which may never
 	// come. The connection is closed unless the whole body was read.
 	head := dialect.Head(resp)
-	good := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+	a.status = resp.StatusCode
 	x.p.countReport(&head)
 	x.p.hearPace(a.u, head, a.sentAt, time.Now())
 	a.u.headReceived(head, resp.StatusCode >= http.StatusInternalServerError && !head.NotRun, time.Now())
 	if head.HasLoad {
 		x.p.facts.of(a.u.service).addReport(a.u, a.u.othersReported(), time.Now())
 	}
-	switch {
-	case head.WrongUpstream:
+	if head.WrongUpstream {
 		a.u.moved.Store(true)
-		fallthrough
-	case head.NotRun:
+	}
+	verdict := reply.Decide(
+		reply.Answer{Status: a.status, Unrun: head.NotRun, Sealed: head.Sealed, Encoded: resp.Header.Get("Content-Encoding") != ""},
+		reply.Request{
+			Repeatable: x.route.Kind.Repeatable(), Streams: x.route.Kind.Streams(), MayRepeat: x.runs < x.route.MaxAttempts, Begun: x.headerWritten,
+		})
+	switch verdict {
+	case reply.Refused:
 		x.runs--
-		a.err = a.call.Drop(time.Now().Add(refusalBodyTimeout))
-		a.complete = a.err == nil
+		a.drop()
 		return resultRefused
-	case good && (!head.Sealed || resp.Header.Get("Content-Encoding") != ""):
-		a.err = errUnsealed
-		return resultBroken
-	case good && x.route.Kind.Streams():
+	case reply.Withheld:
+		a.drop()
+		x.withheld = a.status
+		x.p.metrics.withheld.Add(strconv.Itoa(a.status), 1)
+		return resultWithheld
+	case reply.Streamed:
 		return a.stream(resp)
+	case reply.Delivered, reply.Repeated:
+		return a.deliverBuffered(resp, verdict)
 	}
-	return a.deliverBuffered(resp, good)
+	a.err = errUnusable
+	return resultBroken
+}
+
+// drop reads the body of a response that is not delivered, so that the connection can be
+// used again.
+func (a *attempt) drop() {
+	a.err = a.call.Drop(time.Now().Add(refusalBodyTimeout))
+	a.complete = a.err == nil
 }
 
-// errUnsealed ends an attempt whose successful response cannot be trusted: the
-// upstream vouches for its responses with a seal, see poplar.Head.
-var errUnsealed = errors.New("upstream response without a seal or with a content encoding")
+// errUnusable ends an attempt whose response cannot be delivered: a success for which the
+// upstream does not vouch with a seal, see poplar.Head, or no rest of a stream.
+var errUnusable = errors.New("response without a seal, with a content encoding, or in place of the rest of a stream")
 
-// deliverBuffered reads a complete response and delivers it.
-func (a *attempt) deliverBuffered(resp *http.Response, good bool) result {
+// deliverBuffered reads a complete response and delivers it, or keeps it in case that no
+// later attempt succeeds.
+func (a *attempt) deliverBuffered(resp *http.Response, verdict reply.Verdict) result {
 	x := a.x
 	length := resp.ContentLength
 	if resp.Body == http.NoBody {
@@ -417,15 +439,11 @@
 	a.noteFirstByte()
 	a.complete = true
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body, upstream: a.u}
-	if x.headerWritten {
-		return resultBroken // the upstream did not resume the stream
-	}
-	retry := resp.StatusCode >= http.StatusInternalServerError && x.route.Kind.Repeatable() && x.runs < x.route.MaxAttempts
-	if retry {
+	if verdict == reply.Repeated {
 		x.fallback = buffered
 		return resultFailed
 	}
-	if !good && x.fallback != nil {
+	if good := a.status/100 == http.StatusOK/100; !good && x.fallback != nil {
 		buffered = x.fallback
 	}
 	a.release()
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -16,6 +16,7 @@
 	"poplarbend.example/poplar/pkg/admit"
 	"poplarbend.example/poplar/pkg/memory"
 	"poplarbend.example/poplar/pkg/plan"
+	"poplarbend.example/poplar/pkg/reply"
 	"poplarbend.example/poplar/pkg/shed"
 )
 
@@ -76,6 +77,7 @@
 	lastEventID   string // invariant: id of the last event that was delivered
 	bodyMemory    *memory.Account
 	answers       []heldAnswer // whole answers; freed at the end of the exchange
+	withheld      int          // status of an upstream's response that is withheld, or 0
 	fallback      *response    // invariant: failure response of an upstream, delivered if no retry succeeds
 	upstream      *upstream
 	choice        choice // of the last attempt
@@ -325,12 +327,8 @@
 	status, known := statusByCode[err.Code()]
 	switch {
 	case known && err.Run() == poplar.RunNo:
-	case err.Run() == poplar.RunNo:
-		status = http.StatusServiceUnavailable
-	case err.Code() == poplar.CodeTimeout:
-		status = http.StatusGatewayTimeout
 	default:
-		status = http.StatusBadGateway
+		status = reply.Failure(err.Run() == poplar.RunNo, err.Code() == poplar.CodeTimeout)
 	}
 	h := x.w.Header()
 	if status == http.StatusServiceUnavailable {
@@ -388,6 +386,9 @@
 		fields = append(fields, "first_ms", x.firstByteAt.Sub(x.start).Milliseconds(), "events", x.events)
 		x.p.metrics.firstByte.Since(x.start, x.firstByteAt)
 	}
+	if x.withheld > 0 {
+		fields = append(fields, "withheld", x.withheld)
+	}
 	if wait := x.admitWait.Milliseconds(); wait > 0 {
 		fields = append(fields, "wait_ms", wait)
 	}
--- a/internal/proxy/gate_test.go
+++ b/internal/proxy/gate_test.go
@@ -105,7 +105,7 @@
 type gateCaller struct {
 	engine  *fakeEngine
 	kind    string
-	replies chan reply
+	replies chan received
 }
 
 func (c *gateCaller) run(ctx context.Context, id string) {
@@ -113,7 +113,7 @@
 }
 
 func (e *fakeEngine) start(ctx context.Context, kind string) *gateCaller {
-	c := &gateCaller{engine: e, kind: kind, replies: make(chan reply, 1)}
+	c := &gateCaller{engine: e, kind: kind, replies: make(chan received, 1)}
 	go c.run(ctx, "id-"+kind)
 	return c
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -74,6 +74,7 @@
 	reportsIgnored *expvar.Int // implausible load reports of upstreams
 	choices        *expvar.Map // attempts by how their upstream was chosen
 	reports        *expvar.Map // responses by what they report of load and speed
+	withheld       *expvar.Map // responses that callers did not get, since they do not state what their status promises, by status
 }
 
 func newMetrics(v *trace.Vars) metrics {
@@ -96,6 +97,7 @@
 		reportsIgnored: v.Count("reports_ignored"),
 		choices:        v.Group("choices"),
 		reports:        v.Group("upstream_reports"),
+		withheld:       v.Group("responses_withheld"),
 	}
 	for i := range m.gateWaits {
 		m.gateWaits[i] = v.Timing("gate_wait_" + poplar.Rank(i).String())
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -139,8 +139,8 @@
 	return p
 }
 
-// reply is the response that a caller receives.
-type reply struct {
+// received is the response that a caller receives.
+type received struct {
 	status int
 	header http.Header
 	body   string
@@ -148,7 +148,7 @@
 	err    error
 }
 
-func (h *harness) call(ctx context.Context, method, kind, key string, pairs ...string) reply {
+func (h *harness) call(ctx context.Context, method, kind, key string, pairs ...string) received {
 	h.t.Helper()
 	req, err := http.NewRequestWithContext(ctx, method, h.server.URL+"/"+kind+"/x", strings.NewReader("ask"))
 	assert.NilError(h.t, err)
@@ -159,11 +159,11 @@
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return reply{err: err}
+		return received{err: err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), closes: resp.Close, err: err}
+	return received{status: resp.StatusCode, header: resp.Header, body: string(body), closes: resp.Close, err: err}
 }
 
 func (h *harness) arrivals() []string {
--- a/internal/proxy/upstream_test.go
+++ b/internal/proxy/upstream_test.go
@@ -50,7 +50,7 @@
 	h.proxy.applyPlan(next)
 	h.proxy.addRouters([]string{"r", "r2", "r3"}, time.Now())
 	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan reply, 2)
+	done := make(chan received, 2)
 	for range 2 {
 		c := &pendingCall{harness: h, ctx: ctx, done: done}
 		go c.run()
@@ -70,7 +70,7 @@
 type pendingCall struct {
 	harness *harness
 	ctx     context.Context
-	done    chan reply
+	done    chan received
 }
 
 func (c *pendingCall) run() { c.done <- c.harness.call(c.ctx, http.MethodPost, "unsafe", "k") }
