--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -104,8 +104,11 @@
 	sentAt        time.Time
 	lastActivity  atomic.Int64 // Unix nanoseconds of the last bytes received
 	stallTimer    *time.Timer
-	gotFirstToken bool        // true once the first token was recorded in the local state
-	begun         atomic.Bool // true once a token arrived; unlike gotFirstToken, any goroutine may read it
+	gotFirstToken bool                 // true once the first token was recorded in the local state
+	tokens        atomic.Int64         // that arrived; unlike gotFirstToken, any goroutine may read it
+	progressAt    time.Time            // see crashTracker.recordProgress
+	parts         []poison.Fingerprint // of the prompt, that other requests may share
+	streams       bool                 // true if the response is a stream of events
 }
 
 // outgoingRequest describes a request to an upstream.
@@ -132,6 +135,7 @@
 		address: a.target.peer.Notice().Address,
 		state:   a.target.peer.LocalState(), limit: a.target.peer.Limit(), exclusive: a.target.exclusive,
 		promptTokens: out.promptTokens, sentAt: c.edge.conf.Clock.Now(), written: make(chan httptrace.WroteRequestInfo, 1),
+		parts: c.parts, streams: c.op.streaming(),
 	}
 	ctx, span := c.startSpan(poplar.StepStream)
 	span.SetAttributes(attribute.String("poplar.upstream", string(h.upstream)), attribute.Int("poplar.attempt", int(a.grant.Attempt)))
@@ -325,10 +329,10 @@
 
 // recordToken records the arrival of a token.
 func (h *hop) recordToken() {
+	h.tokens.Add(1)
+	h.call.edge.crashes.recordProgress(h, h.call.edge.conf.Clock.Now())
 	if !h.gotFirstToken {
 		h.gotFirstToken = true
-		h.begun.Store(true)
-		h.call.edge.crashes.partsAnswered(h.call.parts, h.call.edge.conf.Clock.Now())
 		h.state.FirstToken(h.promptTokens)
 		if h.sample != nil {
 			h.limit.FirstToken(h.sample, h.call.edge.conf.Clock.Now())
--- a/internal/edge/midstream_test.go
+++ b/internal/edge/midstream_test.go
@@ -32,7 +32,7 @@
 
 // ServeHTTP implements http.Handler.
 func (c *crashingStreamer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/v1/completions" {
+	if !strings.HasSuffix(r.URL.Path, "/completions") {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
@@ -107,3 +107,40 @@
 		})
 	}
 }
+
+// TestMessageThatCrashesInMidStreamIsRefused sends chats that are all different and share a message
+// that crashes each engine after some tokens. It guards against a message that is cleared by the
+// responses at which it crashes engines.
+func TestMessageThatCrashesInMidStreamIsRefused(t *testing.T) {
+	h := newHarness(t, 100000)
+	_, s := h.startDaemon("a")
+	var engines []*crashingStreamer
+	for i := range 8 {
+		c := &crashingStreamer{mode: crashMode{"chunks", true, 0}, ended: make(chan struct{})}
+		c.server = httptest.NewServer(c)
+		defer c.server.Close()
+		n := testAnnouncement(c.server)
+		n.Upstream, n.Resume = poplar.Upstream(fmt.Sprint("e", i)), false
+		h.announce(withNextSequence(n))
+		engines = append(engines, c)
+	}
+	for n := range 6 {
+		body := fmt.Sprintf(`{"model":"small","messages":[{"role":"system","content":"poisonous"},{"role":"user","content":"%d"}],"max_tokens":20,"stream":true}`, n)
+		response := h.request(s, "POST", "/v1/chat/completions", body)
+		if n < 5 {
+			readStream(response.Body)
+			time.Sleep(200 * time.Millisecond) // crashes in quick succession count as one
+			continue
+		}
+		checkProblem(t, response, "poison no")
+	}
+	ended := 0
+	for _, c := range engines {
+		select {
+		case <-c.ended:
+			ended++
+		default:
+		}
+	}
+	assert.Equal(t, ended, 3)
+}
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -76,27 +76,39 @@
 		return false, time.Time{}
 	}
 	t.mu.Lock()
-	verdict, part, until := t.registry.CheckParts(parts, t.position, now)
+	verdict, until := t.registry.CheckParts(parts, t.position, now)
 	var records []poison.Record
 	if verdict == poison.Isolated {
-		records = append(records, t.registry.StartTrial(part, now))
+		records = t.registry.StartTrial(parts, now)
 	}
 	t.mu.Unlock()
 	t.publish(records)
 	return verdict == poison.Refused, until
 }
 
-// partsAnswered clears the parts of a prompt to which an answer has begun.
-func (t *crashTracker) partsAnswered(parts []poison.Fingerprint, now time.Time) {
-	if t.tracked.Load() == 0 {
+// progressPeriod is the time between two looks at how far a response has come while there are
+// suspects.
+const progressPeriod = 100 * time.Millisecond
+
+// recordProgress records how far a hop has come, now and then while there are suspects. Only the
+// goroutine that reads the response calls it.
+func (t *crashTracker) recordProgress(h *hop, now time.Time) {
+	if t.tracked.Load() == 0 || now.Before(h.progressAt) {
 		return
 	}
+	h.progressAt = now.Add(progressPeriod)
 	t.mu.Lock()
-	records := t.registry.RecordAnswered(parts, now)
+	records := t.registry.RecordAnswer(h.answer(int(h.tokens.Load()), false, now))
 	t.mu.Unlock()
 	t.publish(records)
 }
 
+// answer returns how far the upstream has come with its response, as evidence for the parts of
+// the prompt. A suspect request is cleared only if it ran alone, see hopEnded.
+func (h *hop) answer(events int, whole bool, now time.Time) poison.Answer {
+	return poison.Answer{Parts: h.parts, Events: events, Whole: whole, At: now}
+}
+
 // earliestRun returns the time from which a suspect may run.
 func (t *crashTracker) earliestRun(fingerprint poison.Fingerprint) time.Time {
 	t.mu.Lock()
@@ -153,6 +165,13 @@
 		t.broken[h.upstream] = append(t.broken[h.upstream], brokenHop{h, now})
 		t.updateTracked()
 	}
+	if complete {
+		events := int(h.tokens.Load())
+		if !h.streams {
+			events = poison.AllEvents
+		}
+		records = append(records, t.registry.RecordAnswer(h.answer(events, true, now))...)
+	}
 	if complete && h.exclusive {
 		if r, cleared := t.registry.RecordFinish(h.fingerprint, true, now); cleared {
 			records = append(records, r)
@@ -189,36 +208,31 @@
 // crash. It is called with mu held.
 func (t *crashTracker) recordCrash(upstream poplar.Upstream, incarnation uint64, now time.Time) ([]poison.Record, chan struct{}) {
 	published := make(chan struct{})
-	var fingerprints, parts []poison.Fingerprint
+	var breaks []poison.Break
 	for _, b := range t.broken[upstream] {
 		if b.hop.incarnation == incarnation && now.Sub(b.at) < crashWindow {
-			fingerprints = append(fingerprints, b.hop.fingerprint)
-			parts = append(parts, b.hop.unansweredParts()...)
+			breaks = append(breaks, b.hop.asBreak())
 			b.hop.published = published
 		}
 	}
 	delete(t.broken, upstream)
 	defer t.updateTracked()
-	if len(fingerprints) == 0 {
+	if len(breaks) == 0 {
 		return nil, published
 	}
 	for h := range t.inFlight[upstream] {
 		if h.incarnation == incarnation && h.published == nil && h.sentAt.Before(now.Add(-time.Millisecond)) {
-			fingerprints = append(fingerprints, h.fingerprint)
-			parts = append(parts, h.unansweredParts()...)
+			breaks = append(breaks, h.asBreak())
 			h.published = published
 		}
 	}
-	records := t.registry.RecordCrash(upstream, incarnation, fingerprints, now)
-	return append(records, t.registry.RecordPartCrash(upstream, incarnation, parts, now)...), published
+	return t.registry.RecordBreaks(upstream, incarnation, breaks, now), published
 }
 
-// unansweredParts returns the parts of the prompt if no token has arrived.
-func (h *hop) unansweredParts() []poison.Fingerprint {
-	if h.begun.Load() {
-		return nil
-	}
-	return h.call.parts
+// asBreak returns the hop as a request whose response broke off. That its response had begun
+// does not count for the request, which runs alone after a crash.
+func (h *hop) asBreak() poison.Break {
+	return poison.Break{Fingerprint: h.fingerprint, Parts: h.parts, Events: int(h.tokens.Load())}
 }
 
 // learn merges the records of another daemon.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -233,7 +233,7 @@
 	case resultDone:
 		a.measurePauses(time.Now())
 		x.p.suspects.noteAnswer(u, a.sentAt)
-		x.clearSuspicion()
+		a.recordWhole()
 	}
 	if outcome != resultDone {
 		x.p.log.Info("attempt", "id", x.env.ID, "upstream", string(u.name), "result", resultNames[outcome], "reused", conn.Reused(),
@@ -314,6 +314,7 @@
 	eventsAtSend int       // events of the exchange when the attempt began
 	firstEventAt time.Time // zero before the first event
 	eventsBefore int       // events of the exchange up to the first one of this attempt
+	progressAt   time.Time // when recordProgress looks next at how far the stream has come
 	gotFirstByte bool      // invariant: true once the first byte was received
 	status       int       // of the response; 0 before its header was received
 	complete     bool      // invariant: true once the response was read to its end
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -68,9 +68,7 @@
 			return resultDone
 		}
 		a.startStream(resp)
-		if x.events == begunEvents {
-			x.clearParts()
-		}
+		a.recordProgress()
 		flush := !eof && !eventBuffered(reader)
 		if err := a.forward(event, flush, ahead); err != nil {
 			a.err = err
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -25,9 +25,9 @@
 	// retry such requests within seconds.
 	refusalTime   = 5 * time.Minute
 	suspicionTime = time.Minute
-	// begunEvents is the number of delivered events from which a stream counts as
-	// begun, so that its parts do not crash upstreams.
-	begunEvents = 2
+	// progressPeriod is the time between two looks at how far a stream has come while there
+	// are suspects.
+	progressPeriod = 100 * time.Millisecond
 	// suspectPause is how long a request that may crash upstreams waits after a broken
 	// response, before it is sent to another one. It covers the first try of a probe.
 	suspectPause = 50 * time.Millisecond
@@ -109,9 +109,9 @@
 	if verdict == poison.Refused {
 		return until, true, nil
 	}
-	verdict, part, until := s.registry.CheckParts(parts, s.position, now)
+	verdict, until = s.registry.CheckParts(parts, s.position, now)
 	if verdict == poison.Isolated {
-		trial = []poison.Record{s.registry.StartTrial(part, now)}
+		trial = s.registry.StartTrial(parts, now)
 	}
 	return until, verdict == poison.Refused, trial
 }
@@ -155,12 +155,12 @@
 	return verdict != poison.Clean, verdict == poison.Refused
 }
 
-// recordFinished clears a request that completed, and the parts of its prompt. It
-// returns the records to report of those that were suspects.
-func (s *suspects) recordFinished(fingerprints []poison.Fingerprint, now time.Time) []poison.Record {
+// recordAnswer records how far the answer to a request has come. It returns the records to
+// report of the suspects for which that is evidence.
+func (s *suspects) recordAnswer(a poison.Answer) []poison.Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.RecordAnswered(fingerprints, now)
+	return s.registry.RecordAnswer(a)
 }
 
 // all returns the records with the latest news, at most the given number.
@@ -210,28 +210,35 @@
 	p.reportSuspects(p.suspects.recordEnd(u, evidence, time.Now()))
 }
 
-// reportSuspects queues records for the control daemons, which forward them to
-// all routers. Crashes are reported at once.
+// reportSuspects queues records of crashes and trials for the control daemons, which forward them
+// to all routers, and has them sent at once.
 func (p *Proxy) reportSuspects(records []poison.Record) {
 	if len(records) == 0 {
 		return
 	}
-	crashed := false
-	for _, r := range records {
-		crashed = crashed || len(r.Crashes) > 0
-		p.log.Warn("suspect", "print", uint64(r.Fingerprint), "part", r.Part, "crashes", len(r.Crashes), "begun", r.BegunCrashes(),
-			"cleared", !r.Cleared.IsZero())
-	}
-	p.suspects.queue(records)
-	if !crashed {
-		return
-	}
+	p.queueSuspects(records)
 	select {
 	case p.reportWake <- struct{}{}:
 	default:
 	}
 }
 
+// queueSuspects queues records for the next report. There is one of each part at each crash, so
+// only those of parts with several crashes are logged.
+func (p *Proxy) queueSuspects(records []poison.Record) {
+	if len(records) == 0 {
+		return
+	}
+	for _, r := range records {
+		if r.Part && len(r.Crashes) == 1 {
+			continue
+		}
+		p.log.Warn("suspect", "print", uint64(r.Fingerprint), "part", r.Part, "crashes", len(r.Crashes), "begun", r.BegunCrashes(),
+			"passed", len(r.Passed), "ahead", len(r.Ahead), "cleared", len(r.Crashes) == 0)
+	}
+	p.suspects.queue(records)
+}
+
 // reportLoop runs reportOnce periodically and when a crash or a limit is queued.
 func (p *Proxy) reportLoop() { loops.Tick(p.ctx, reportPeriod, p.reportWake, p.reportOnce) }
 
@@ -254,7 +261,7 @@
 func (x *exchange) recordBroken(u *upstream, events int) {
 	x.broken++
 	b := poison.Break{
-		Fingerprint: x.fingerprint(), Parts: x.partFingerprints(), PartsAnswered: x.events >= begunEvents, Begun: events > 0, At: time.Now(),
+		Fingerprint: x.fingerprint(), Parts: x.partFingerprints(), Begun: events > 0, Events: events, At: time.Now(),
 	}
 	records, probe := x.p.suspects.recordBroken(u, b)
 	x.p.reportSuspects(records)
@@ -293,17 +300,35 @@
 		Ran(poplar.RunNo).After(until)
 }
 
-// clearParts clears the parts of the prompt of a request whose answer has begun.
-func (x *exchange) clearParts() {
-	if x.p.suspects.nonEmpty() {
-		x.p.reportSuspects(x.p.suspects.recordFinished(x.partFingerprints(), time.Now()))
+// recordProgress records how far the stream has come, now and then while there are suspects.
+func (a *attempt) recordProgress() {
+	s := a.x.p.suspects
+	if !s.nonEmpty() {
+		return
+	}
+	if now := time.Now(); !now.Before(a.progressAt) {
+		a.progressAt = now.Add(progressPeriod)
+		a.x.p.queueSuspects(s.recordAnswer(a.answer(false, now)))
 	}
 }
 
-// clearSuspicion clears a request that was answered with success, and the parts of
-// its prompt.
-func (x *exchange) clearSuspicion() {
-	if x.p.suspects.nonEmpty() && x.status/100 == 2 {
-		x.p.reportSuspects(x.p.suspects.recordFinished(append(x.partFingerprints(), x.fingerprint()), time.Now()))
+// recordWhole records that the request was answered with success, if it was.
+func (a *attempt) recordWhole() {
+	if s := a.x.p.suspects; s.nonEmpty() && a.x.status/100 == 2 {
+		a.x.p.queueSuspects(s.recordAnswer(a.answer(true, time.Now())))
+	}
+}
+
+// answer returns how far the upstream has come with its answer.
+func (a *attempt) answer(whole bool, now time.Time) poison.Answer {
+	x := a.x
+	events := x.events - a.eventsAtSend
+	if !x.route.Kind.Streams() {
+		events = poison.AllEvents
+	}
+	answer := poison.Answer{Parts: x.partFingerprints(), Events: events, Whole: whole, At: now}
+	if whole {
+		answer.Fingerprint = x.fingerprint()
 	}
+	return answer
 }
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -216,6 +216,25 @@
 	assert.Equal(t, call("end", "first last4 poisonous"), http.StatusOK, "the last part belongs to one request")
 }
 
+// TestPartThatCrashesInMidStreamIsRefused sends requests that are all different and share one
+// part, which crashes each upstream after three events, and others that share the first part only.
+// It guards against a part that is cleared by the answers at which it crashes upstreams.
+func TestPartThatCrashesInMidStreamIsRefused(t *testing.T) {
+	h := newHarness(t, script{"a": {"stream 3", "stream 6", "stream 3", "stream 6", "stream 3", "stream 6"}})
+	call := func(id, parts string) int {
+		return h.call(t.Context(), http.MethodPost, "stream", "k", "Id", id, "Parts", parts, "Prompt", "1").status
+	}
+	for i := range 3 {
+		n := strconv.Itoa(i)
+		assert.Equal(t, call("poisonous"+n, "first poisonous last"+n), http.StatusOK)
+		h.restart("a")
+		time.Sleep(time.Second / 4) // crashes in quick succession count as one
+		assert.Equal(t, call("sound"+n, "first other last"+n), http.StatusOK)
+	}
+	assert.Equal(t, call("poisonous3", "first poisonous last3"), http.StatusServiceUnavailable)
+	assert.Equal(t, call("sound3", "first other last3"), http.StatusOK)
+}
+
 // TestFailedAnswerDoesNotClear answers a suspect with a failure of the upstream.
 func TestFailedAnswerDoesNotClear(t *testing.T) {
 	h := newHarness(t, script{"a": {"reset", "fail", "reset", "ok"}})
--- a/pkg/poison/breaks.go
+++ b/pkg/poison/breaks.go
@@ -14,12 +14,11 @@
 type Break struct {
 	Fingerprint Fingerprint
 	Parts       []Fingerprint // of the prompt
-	// PartsAnswered is true if some upstream had begun an answer to the prompt, so that its
-	// parts do not crash upstreams.
-	PartsAnswered bool
-	// Begun is true if this upstream had begun the answer that broke off.
-	Begun bool
-	At    time.Time
+	// Begun is true if this upstream had begun the answer that broke off, and Events the
+	// number of its events that have arrived.
+	Begun  bool
+	Events int
+	At     time.Time
 }
 
 // Evidence is what shows that a run of an upstream has ended.
--- a/pkg/poison/crash.go
+++ b/pkg/poison/crash.go
@@ -7,29 +7,23 @@
 )
 
 // RecordBreaks records that an upstream crashed while the given requests were in flight
-// at it. The crash counts for them and for the parts of their prompts to which no answer had
-// begun. RecordBreaks returns the records to send to the other daemons.
+// at it. The crash counts for them and for the parts of their prompts. RecordBreaks returns the
+// records to send to the other daemons.
 func (reg *Registry) RecordBreaks(upstream poplar.Upstream, number uint64, breaks []Break, now time.Time) []Record {
-	begun, answered := map[Fingerprint]bool{}, map[Fingerprint]bool{}
+	crashes := map[Fingerprint]Crash{}
 	fingerprints := make([]Fingerprint, len(breaks))
 	for i, b := range breaks {
-		before, known := begun[b.Fingerprint]
-		begun[b.Fingerprint] = b.Begun && (before || !known)
-		fingerprints[i] = b.Fingerprint
-		for _, fp := range b.Parts {
-			answered[fp] = answered[fp] || b.PartsAnswered
+		c, known := crashes[b.Fingerprint]
+		if !known {
+			c = Crash{Upstream: upstream, Incarnation: number, At: now, Concurrent: len(breaks) - 1, Begun: b.Begun, Events: b.Events}
 		}
+		c.Begun, c.Events = c.Begun && b.Begun, max(c.Events, b.Events)
+		crashes[b.Fingerprint] = c
+		fingerprints[i] = b.Fingerprint
 	}
 	out := make([]Record, 0, len(breaks))
 	for _, fp := range attributed(fingerprints, reg, now) {
-		crash := Crash{Upstream: upstream, Incarnation: number, At: now, Concurrent: len(fingerprints) - 1, Begun: begun[fp]}
-		out = append(out, reg.merge(Record{Fingerprint: fp, Crashes: []Crash{crash}}))
-	}
-	var parts []Fingerprint
-	for fp, answered := range answered {
-		if !answered {
-			parts = append(parts, fp)
-		}
+		out = append(out, reg.merge(Record{Fingerprint: fp, Crashes: []Crash{crashes[fp]}}))
 	}
-	return append(out, reg.RecordPartCrash(upstream, number, parts, now)...)
+	return append(out, reg.recordPartCrash(upstream, number, breaks, now)...)
 }
--- a/pkg/poison/midstream_test.go
+++ b/pkg/poison/midstream_test.go
@@ -21,6 +21,7 @@
 
 const (
 	midstreamStep   = 5               // milliseconds of a step of the simulation
+	midstreamEvent  = 20              // milliseconds between two events of an answer
 	midstreamSends  = 10              // of the poisonous request
 	midstreamDown   = 4000            // of a crashed upstream, until it has started again
 	midstreamRetry  = 500             // until the caller of a sound stream sends it again
@@ -130,7 +131,10 @@
 	f.running = kept
 	told := map[int]bool{}
 	for _, r := range cut {
-		b := Break{Fingerprint: r.print, Begun: f.phase == "begun" || r.print != poisonousPrint, At: at(f.now)}
+		b := Break{Fingerprint: r.print, Begun: f.phase != "waiting" || r.print != poisonousPrint, At: at(f.now)}
+		if b.Begun {
+			b.Events = (f.now - r.since) / midstreamEvent
+		}
 		f.breaks[r.router].Add(name, number, b)
 		if !told[r.router] {
 			told[r.router] = true
@@ -184,13 +188,18 @@
 		case r.print != poisonousPrint && f.now-r.since >= r.left:
 			f.running = slices.Delete(f.running, i, i+1)
 			i--
-			f.report(f.routers[r.router].RecordAnswered([]Fingerprint{r.print}, at(f.now)))
+			f.report(f.routers[r.router].RecordAnswer(f.whole(r)))
 			f.begin(int(1000 * f.length))
 		}
 	}
 	f.now += midstreamStep
 }
 
+// whole returns the answer of a run that has come to its end.
+func (f *midstreamFleet) whole(r midstreamRun) Answer {
+	return Answer{Fingerprint: r.print, Events: (f.now - r.since) / midstreamEvent, Whole: true, At: at(f.now)}
+}
+
 // begin sends a new sound request.
 func (f *midstreamFleet) begin(left int) {
 	f.lastSent++
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -10,14 +10,19 @@
 
 // A part of prompts may crash each upstream that begins to answer on it, whatever
 // else the request holds. Requests with such a part are all different, so none of
-// them is seen twice. What they share is that part, and that none of them was
-// answered: a part that other requests share is cleared as soon as one of these is.
+// them is seen twice. What they share is that part, and that no answer got past the
+// events at which it crashes upstreams. A part that other requests share is cleared
+// as soon as an answer to one of these does, see Answer.
 
 // partCrashLimit is the number of crashes, apart from each other, after which a part
 // is refused. It exceeds crashLimit, because several parts are in flight at each
 // crash.
 const partCrashLimit = 3
 
+// partWeakLimit is the same if answers to other requests got past some of the crashes, which may
+// come after a different number of events each time.
+const partWeakLimit = 8
+
 // partCrashGap is the time within which crashes count as one. Upstreams that crash
 // together mostly have another cause, and parts that many requests share are in
 // flight at all of them.
@@ -31,115 +36,222 @@
 	return Fingerprint(h.Sum64())
 }
 
-// RecordPartCrash records that an upstream crashed while the given parts were in
-// requests without an answer. It returns the records to send to the other daemons.
-// If one of the parts was in flight at an earlier crash, only such parts are held
-// responsible.
-func (reg *Registry) RecordPartCrash(upstream poplar.Upstream, number uint64, parts []Fingerprint, now time.Time) []Record {
-	suspects := attributed(parts, reg, now)
-	out := make([]Record, 0, len(suspects))
-	for _, fp := range suspects {
-		crash := Crash{Upstream: upstream, Incarnation: number, At: now, Concurrent: len(parts) - 1}
+// recordPartCrash records that an upstream crashed while the parts of the given requests were
+// in flight at it. It returns the records to send to the other daemons. If some of the parts
+// are known to crash upstreams, only these are held responsible.
+func (reg *Registry) recordPartCrash(upstream poplar.Upstream, number uint64, breaks []Break, now time.Time) []Record {
+	events := map[Fingerprint]int{}
+	var parts, culprits []Fingerprint // in the order of the breaks
+	for _, b := range breaks {
+		for _, fp := range b.Parts {
+			before, known := events[fp]
+			if !known {
+				before = b.Events
+				parts = append(parts, fp)
+				if reg.certain(fp, now) {
+					culprits = append(culprits, fp)
+				}
+			}
+			events[fp] = max(before, b.Events)
+		}
+	}
+	if len(culprits) > 0 {
+		parts = culprits
+	}
+	out := make([]Record, 0, len(parts))
+	for _, fp := range parts {
+		crash := Crash{Upstream: upstream, Incarnation: number, At: now, Concurrent: len(events) - 1, Begun: events[fp] > 0, Events: events[fp]}
 		out = append(out, reg.merge(Record{Fingerprint: fp, Part: true, Crashes: []Crash{crash}}))
 	}
 	return out
 }
 
+// certain reports whether a part is refused and no other part may have caused its crashes.
+func (reg *Registry) certain(fp Fingerprint, now time.Time) bool {
+	r, known := reg.records[fp]
+	if !known || !r.Part {
+		return false
+	}
+	v, _ := reg.partVerdict(r, now)
+	return v == Refused && !reg.hasRival(r, nil)
+}
+
 // Trials of parts that several crashes have in common.
 const (
 	// trialDelay is the time after the last crash of a part before a request with it
 	// is tried, and trialSpread the time over which the daemons are spread.
 	trialDelay  = time.Second
 	trialSpread = 1500 * time.Millisecond
-	// trialTime is the longest time for which other daemons wait for a trial.
-	trialTime = 2 * time.Second
+	// trialTime is the longest time for which other daemons wait for a trial, and trialEvent
+	// what is added for each event after which upstreams crashed.
+	trialTime  = 2 * time.Second
+	trialEvent = 50 * time.Millisecond
+	// Both grow with each crash beyond partCrashLimit: by doubtBackoff up to maxDoubtBackoff,
+	// or, for a part for which there is no other explanation, from certainFactor on by
+	// certainBackoff up to maxBackoff. These are powers of two.
+	doubtBackoff    = 1
+	maxDoubtBackoff = 2
+	certainFactor   = 2
+	certainBackoff  = 2
+	maxBackoff      = 12
 )
 
 // CheckParts returns the verdict on a request with the given parts at now and, if it
 // is refused, the end of the refusal. If the verdict is Isolated, the request is a
-// trial of the returned part, which the caller announces with StartTrial.
+// trial of its parts, which the caller announces with StartTrial.
 //
-// A part is refused after partCrashLimit crashes. If another part was in flight at
-// all of these, either may have caused them, and the first answer to a request with
-// only one of them clears it. So one such request runs at a time. The daemon's
-// position, from 0 to 1, says how early it makes a trial.
-func (reg *Registry) CheckParts(parts []Fingerprint, position float64, now time.Time) (Verdict, Fingerprint, time.Time) {
-	var suspects []Record
-	for _, fp := range parts {
-		r, ok := reg.records[fp]
-		if v, _ := reg.partVerdict(r, now); ok && v == Refused && !slices.ContainsFunc(suspects, func(s Record) bool { return s.Fingerprint == fp }) {
-			suspects = append(suspects, r)
-		}
-	}
+// A part is refused after partCrashLimit crashes that no part with more crashes has in common
+// with it. Then one request runs at a time, since its answer may clear the part: soon if another
+// part that the request does not hold may have caused the crashes as well, and otherwise after a
+// wait that grows with each crash, since upstreams may have crashed for another reason. The
+// daemon's position, from 0 to 1, says how early it makes a trial.
+func (reg *Registry) CheckParts(parts []Fingerprint, position float64, now time.Time) (Verdict, time.Time) {
+	suspects := reg.refusedParts(parts, now)
 	if len(suspects) == 0 {
-		return Clean, 0, time.Time{}
+		return Clean, time.Time{}
 	}
-	r := suspects[0]
-	_, until := reg.partVerdict(r, now)
-	if len(suspects) > 1 {
-		return Refused, 0, now.Add(trialDelay)
+	var trialAt time.Time
+	for _, r := range suspects {
+		wait := (trialDelay + time.Duration(position*float64(trialSpread))) << reg.backoff(r, parts, 0)
+		for _, at := range []time.Time{r.Crashes[len(r.Crashes)-1].At.Add(wait), r.IsolatedUntil} {
+			if at.After(trialAt) {
+				trialAt = at
+			}
+		}
 	}
-	if !reg.hasRival(r, now) {
-		return Refused, 0, until
+	if now.Before(trialAt) {
+		return Refused, trialAt
 	}
-	trialAt := r.Crashes[len(r.Crashes)-1].At.Add(trialDelay + time.Duration(position*float64(trialSpread)))
-	if r.IsolatedUntil.After(trialAt) {
-		trialAt = r.IsolatedUntil
+	return Isolated, time.Time{}
+}
+
+// StartTrial records that a request with the parts is tried: no other trial begins until this
+// one has had time to show something. It returns the records to send to the other daemons.
+func (reg *Registry) StartTrial(parts []Fingerprint, now time.Time) []Record {
+	suspects := reg.refusedParts(parts, now)
+	out := make([]Record, len(suspects))
+	for i, r := range suspects {
+		until := trialTime + time.Duration(r.mostEvents())*trialEvent
+		if !reg.hasRival(r, parts) {
+			until = max(until, trialDelay<<reg.backoff(r, parts, 1)) // as after another crash
+		}
+		out[i] = reg.merge(Record{Fingerprint: r.Fingerprint, Part: true, IsolatedUntil: now.Add(until)})
 	}
-	if now.Before(trialAt) {
-		return Refused, 0, trialAt
+	return out
+}
+
+// refusedParts returns the records of those of the parts that are refused at now.
+func (reg *Registry) refusedParts(parts []Fingerprint, now time.Time) []Record {
+	var out []Record
+	for i, fp := range parts {
+		r, known := reg.records[fp]
+		if !known || slices.Contains(parts[:i], fp) {
+			continue
+		}
+		if v, _ := reg.partVerdict(r, now); v == Refused {
+			out = append(out, r)
+		}
 	}
-	return Isolated, r.Fingerprint, time.Time{}
+	return out
+}
+
+// backoff returns the power of two by which the wait before a trial of r in a request with the
+// given parts has grown, or will have after more crashes.
+func (reg *Registry) backoff(r Record, parts []Fingerprint, more int) int {
+	beyond := r.crashCount() + more - partCrashLimit
+	if reg.hasRival(r, parts) {
+		return min(doubtBackoff*beyond, maxDoubtBackoff)
+	}
+	return min(certainFactor+certainBackoff*beyond, maxBackoff)
 }
 
-// StartTrial records that a request with the part is tried. It returns the record to
-// send to the other daemons.
-func (reg *Registry) StartTrial(fp Fingerprint, now time.Time) Record {
-	return reg.merge(Record{Fingerprint: fp, Part: true, IsolatedUntil: now.Add(trialTime)})
+// mostEvents returns the largest number of events after which an upstream crashed.
+func (r Record) mostEvents() int {
+	most := 0
+	for _, c := range r.Crashes {
+		most = max(most, c.Events)
+	}
+	return most
 }
 
-// hasRival reports whether another refused part was in flight at all crashes of r.
-func (reg *Registry) hasRival(r Record, now time.Time) bool {
+// hasRival reports whether a part that is none of the excluded ones may have caused the crashes
+// of r as well: it was in flight at so many of them that the rest would not condemn r.
+func (reg *Registry) hasRival(r Record, excluded []Fingerprint) bool {
 	for fp, other := range reg.records {
-		if fp == r.Fingerprint || !other.Part || len(other.Crashes) < len(r.Crashes) {
+		if fp == r.Fingerprint || !other.Part || len(other.Crashes) < partCrashLimit || slices.Contains(excluded, fp) {
 			continue
 		}
-		if v, _ := reg.partVerdict(other, now); v == Refused && other.covers(r) {
+		common := r.common(other)
+		if common >= partCrashLimit && r.crashCount()-common < partCrashLimit && other.condemnedBy(other.distinct()) {
 			return true
 		}
 	}
 	return false
 }
 
-// covers reports whether all crashes of other are also crashes of r.
-func (r Record) covers(other Record) bool {
-	return !slices.ContainsFunc(other.Crashes, func(c Crash) bool {
-		return !slices.ContainsFunc(r.Crashes, func(own Crash) bool { return own.Upstream == c.Upstream && own.Incarnation == c.Incarnation })
-	})
+// explained reports whether a part with more crashes than r was in flight at crash c of r.
+func (reg *Registry) explained(r Record, c Crash) bool {
+	if reg.mostCrashes == nil {
+		reg.mostCrashes = map[incarnation]int{}
+		for _, other := range reg.records {
+			if !other.Part {
+				continue
+			}
+			count := other.crashCount()
+			for _, c := range other.Crashes {
+				inc := incarnation{c.Upstream, c.Incarnation}
+				reg.mostCrashes[inc] = max(reg.mostCrashes[inc], count)
+			}
+		}
+	}
+	return reg.mostCrashes[incarnation{c.Upstream, c.Incarnation}] > r.crashCount()
 }
 
 // partVerdict returns the verdict on the record of a part at now and the end of the
-// restriction, without regard to other parts. A part is refused for SuspectDuration
-// only, since an answer cannot clear it meanwhile.
+// restriction, without regard to parts that may have caused the same crashes.
 func (reg *Registry) partVerdict(r Record, now time.Time) (Verdict, time.Time) {
-	var first, last time.Time // of the crashes that count as one
-	count := 0
-	for _, c := range r.Crashes { // in the order of their times
-		if now.Sub(c.At) > reg.settings.RefuseDuration {
-			continue
+	crashes := slices.DeleteFunc(slices.Clone(r.distinct()), func(c Crash) bool {
+		return now.Sub(c.At) > reg.settings.RefuseDuration || reg.explained(r, c)
+	})
+	if len(crashes) == 0 {
+		return Clean, time.Time{}
+	}
+	verdict, duration := Isolated, reg.settings.SuspectDuration
+	if r.condemnedBy(crashes) {
+		verdict, duration = Refused, reg.settings.RefuseDuration
+	}
+	if until := crashes[len(crashes)-1].At.Add(duration); now.Before(until) {
+		return verdict, until
+	}
+	return Clean, time.Time{}
+}
+
+// condemnedBy reports whether the given crashes of r, in the order of their times, are enough to
+// refuse it. A part that crashes upstreams after some events lets no answer get further, so a
+// crash counts in full only if no answer has: not one that runs, see Ahead, and not one that was
+// cut off at another crash.
+func (r Record) condemnedBy(crashes []Crash) bool {
+	most := r.mostEvents()
+	full := func(c Crash) bool {
+		for _, report := range r.Crashes {
+			if report.same(c) && report.Events+progressMargin >= most && !r.isAhead(report) {
+				return true
+			}
 		}
-		last = c.At
-		if count == 0 || c.At.Sub(first) >= partCrashGap {
+		return false
+	}
+	return apart(crashes, func(Crash) bool { return true }) >= partWeakLimit || apart(crashes, full) >= partCrashLimit
+}
+
+// apart returns how many of the crashes that count are apart from each other.
+func apart(crashes []Crash, counts func(Crash) bool) int {
+	var first time.Time // of the crashes that count as one
+	count := 0
+	for _, c := range crashes {
+		if counts(c) && (count == 0 || c.At.Sub(first) >= partCrashGap) {
 			first = c.At
 			count++
 		}
 	}
-	until := last.Add(reg.settings.SuspectDuration)
-	switch {
-	case count == 0 || !now.Before(until):
-		return Clean, time.Time{}
-	case count >= partCrashLimit:
-		return Refused, until
-	}
-	return Isolated, until
+	return count
 }
--- a/pkg/poison/part_test.go
+++ b/pkg/poison/part_test.go
@@ -16,21 +16,38 @@
 	poisonousPart Fingerprint = 666
 )
 
+// crashParts records a crash of an upstream with the given parts in flight, without an answer.
+func crashParts(reg *Registry, upstream poplar.Upstream, number uint64, parts []Fingerprint, now time.Time) []Record {
+	return reg.recordPartCrash(upstream, number, []Break{{Parts: parts}}, now)
+}
+
 // TestPartIsRefusedAfterThreeCrashes has a part in flight at crashes with others,
 // which are answered elsewhere.
 func TestPartIsRefusedAfterThreeCrashes(t *testing.T) {
 	reg, now := NewRegistry(DefaultSettings()), epoch
 	for i := range uint64(partCrashLimit) {
-		v, _, _ := reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, now)
+		v, _ := reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, now)
 		assert.Equal(t, v, Clean, "crash %d", i)
-		reg.RecordPartCrash("u", i, []Fingerprint{sharedPart, poisonousPart, Fingerprint(10 + i)}, now)
+		crashParts(reg, "u", i, []Fingerprint{sharedPart, poisonousPart, Fingerprint(10 + i)}, now)
 		now = now.Add(time.Second)
 		reg.RecordFinish(sharedPart, true, now)
 	}
-	v, _, until := reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, now)
+	v, until := reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, now)
 	assert.Equal(t, v, Refused)
-	assert.Equal(t, until, now.Add(-time.Second).Add(DefaultSettings().SuspectDuration))
-	v, _, _ = reg.CheckParts([]Fingerprint{sharedPart, 10}, 0, now)
+	last := now.Add(-time.Second)
+	trialAt := last.Add(trialDelay << certainFactor)
+	assert.Equal(t, until, trialAt)
+	v, _ = reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 1, trialAt)
+	assert.Equal(t, v, Refused, "a daemon that tries later")
+	v, _ = reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, trialAt)
+	assert.Equal(t, v, Isolated)
+	reg.StartTrial([]Fingerprint{sharedPart, poisonousPart}, trialAt)
+	v, _ = reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, trialAt)
+	assert.Equal(t, v, Refused, "one trial at a time")
+	crashParts(reg, "u", 9, []Fingerprint{sharedPart, poisonousPart}, trialAt)
+	_, until = reg.CheckParts([]Fingerprint{sharedPart, poisonousPart}, 0, trialAt)
+	assert.Equal(t, until, trialAt.Add(trialDelay<<(certainFactor+certainBackoff)), "each crash puts the next trial off")
+	v, _ = reg.CheckParts([]Fingerprint{sharedPart, 10}, 0, now)
 	assert.Equal(t, v, Clean)
 }
 
@@ -39,9 +56,9 @@
 func TestPartsSurviveSimultaneousCrashes(t *testing.T) {
 	reg := NewRegistry(DefaultSettings())
 	for i := range uint64(12) {
-		reg.RecordPartCrash("u", i, []Fingerprint{sharedPart}, epoch.Add(time.Duration(i)*20*time.Millisecond))
+		crashParts(reg, "u", i, []Fingerprint{sharedPart}, epoch.Add(time.Duration(i)*20*time.Millisecond))
 	}
-	v, _, _ := reg.CheckParts([]Fingerprint{sharedPart}, 0, epoch.Add(time.Second))
+	v, _ := reg.CheckParts([]Fingerprint{sharedPart}, 0, epoch.Add(time.Second))
 	assert.Equal(t, v, Clean)
 }
 
@@ -53,22 +70,21 @@
 	now := epoch
 	for i := range uint64(partCrashLimit) {
 		now = now.Add(partCrashGap)
-		other.MergeRecords(reg.RecordPartCrash("u", i, []Fingerprint{sharedPart, poisonousPart}, now))
+		other.MergeRecords(crashParts(reg, "u", i, []Fingerprint{sharedPart, poisonousPart}, now))
 	}
-	check := func(reg *Registry, want Verdict, parts ...Fingerprint) Fingerprint {
+	check := func(reg *Registry, want Verdict, parts ...Fingerprint) {
 		t.Helper()
-		v, trial, _ := reg.CheckParts(parts, 0, now)
+		v, _ := reg.CheckParts(parts, 0, now)
 		assert.Equal(t, v, want)
-		return trial
 	}
 	check(reg, Refused, sharedPart)
 	now = now.Add(trialDelay)
 	check(reg, Refused, sharedPart, poisonousPart)
-	assert.Equal(t, check(reg, Isolated, sharedPart, 5), sharedPart)
-	v, _, until := reg.CheckParts([]Fingerprint{sharedPart}, 1, now)
+	check(reg, Isolated, sharedPart, 5)
+	v, until := reg.CheckParts([]Fingerprint{sharedPart}, 1, now)
 	assert.Equal(t, v, Refused, "a daemon that tries later")
 	assert.Equal(t, until, now.Add(trialSpread))
-	other.MergeRecords([]Record{reg.StartTrial(sharedPart, now)})
+	other.MergeRecords(reg.StartTrial([]Fingerprint{sharedPart}, now))
 	check(other, Refused, sharedPart)
 	now = now.Add(10 * time.Millisecond)
 	cleared, _ := reg.RecordFinish(sharedPart, true, now)
@@ -132,12 +148,12 @@
 	if counts {
 		f.sound++
 	}
-	v, trial, _ := f.routers[router].CheckParts(parts, float64(router)/float64(len(f.routers)), at(ms))
+	v, _ := f.routers[router].CheckParts(parts, float64(router)/float64(len(f.routers)), at(ms))
 	if v == Refused {
 		return
 	}
 	if v == Isolated {
-		f.send(ms, []Record{f.routers[router].StartTrial(trial, at(ms))})
+		f.send(ms, f.routers[router].StartTrial(parts, at(ms)))
 	}
 	upstream := f.random.IntN(len(f.downUntil))
 	for n := 0; ms < f.downUntil[upstream]; n++ {
@@ -170,7 +186,7 @@
 		}
 		f.running = append(f.running[:i], f.running[i+1:]...)
 		i--
-		f.send(ms, f.routers[r.router].RecordAnswered(r.parts, at(ms)))
+		f.send(ms, f.routers[r.router].RecordAnswer(Answer{Parts: r.parts, Events: AllEvents, Whole: true, At: at(ms)}))
 	}
 }
 
@@ -188,7 +204,7 @@
 	f.running = left
 	name := poplar.Upstream(rune('a' + upstream))
 	for router, list := range parts {
-		f.send(ms+partProbeTime, f.routers[router].RecordPartCrash(name, f.starts[upstream], list, at(ms+partProbeTime)))
+		f.send(ms+partProbeTime, crashParts(f.routers[router], name, f.starts[upstream], list, at(ms+partProbeTime)))
 	}
 	f.crashes = append(f.crashes, ms)
 	f.downUntil[upstream] = ms + partDowntime
--- a/pkg/poison/poison_test.go
+++ b/pkg/poison/poison_test.go
@@ -27,10 +27,16 @@
 			At:          epoch.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "at")) * time.Second),
 			Concurrent:  rapid.IntRange(0, 3).Draw(t, "beside"),
 			Begun:       rapid.Bool().Draw(t, "begun"),
+			Events:      rapid.IntRange(0, 3).Draw(t, "events"),
 		}
 		r = Merge(r, Record{Fingerprint: 1, Part: part, Crashes: []Crash{c}})
 	}
 	r.Cleared = epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "cleared")) * time.Second)
+	for range rapid.IntRange(0, 3).Draw(t, "answers") {
+		p := Passed{At: epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "passed")) * time.Second), Events: rapid.IntRange(0, 3).Draw(t, "past")}
+		r = Merge(r, Record{Fingerprint: 1, Part: part, Passed: []Passed{p}})
+		r = Merge(r, Record{Fingerprint: 1, Part: part, Ahead: []Passed{{At: p.At.Add(time.Second), Events: 3 - p.Events}}})
+	}
 	r.IsolatedOn = poplar.Upstream(rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "place"))
 	r.IsolatedUntil = epoch.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "until")) * time.Second)
 	return Merge(r, r)
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"time"
 
 	"poplarbend.example/poplar"
@@ -26,17 +27,35 @@
 	// Begun is true if the upstream had begun to answer the request. A request that is
 	// sound is often in flight at a crash with its answer begun, so this is weaker evidence.
 	Begun bool `json:"begun,omitempty"`
+	// Events is the number of events of the answer that had arrived, of several answers the
+	// most: what crashes an upstream after some events lets no answer get further.
+	Events int `json:"events,omitempty"`
 }
 
+// Passed is an answer that got past the given number of events, so that a crash up to its time
+// and after no more events had another cause.
+type Passed struct {
+	At     time.Time `json:"at"`
+	Events int       `json:"events"`
+}
+
+// covers reports whether the answer shows that a crash had another cause.
+func (p Passed) covers(c Crash) bool { return !c.At.After(p.At) && c.Events <= p.Events }
+
 // Record is what the fleet knows about one fingerprint.
 type Record struct {
 	Fingerprint Fingerprint `json:"print"`
 	// Part is true if the fingerprint is that of a part of prompts.
 	Part    bool    `json:"part,omitempty"`
 	Crashes []Crash `json:"crashes"`
-	// Cleared is the latest time at which an operator released the fingerprint
-	// or it ran alone to its end. Crashes up to this time do not count.
+	// Cleared is the latest time at which an operator released the fingerprint or it ran
+	// alone to its end. Crashes up to this time do not count.
 	Cleared time.Time `json:"cleared"`
+	// Passed are whole answers that got past crashes, which do not count any more, the oldest
+	// first. None is both older than another one and has no more events. Ahead are the same of
+	// answers that were not yet whole; crashes that these got past are weaker evidence.
+	Passed []Passed `json:"passed,omitempty"`
+	Ahead  []Passed `json:"ahead,omitempty"`
 	// IsolatedOn is the upstream at which the fingerprint runs alone, until
 	// IsolatedUntil at the latest. Merge prefers the later end; of equal ends
 	// it prefers the greater upstream name.
@@ -47,7 +66,7 @@
 // BegunCrashes returns the number of crashes at which the answer had begun.
 func (r Record) BegunCrashes() int {
 	count := 0
-	for _, c := range r.Crashes {
+	for _, c := range r.distinct() {
 		if c.Begun {
 			count++
 		}
@@ -55,11 +74,53 @@
 	return count
 }
 
+// same reports whether two reports are of one crash.
+func (c Crash) same(other Crash) bool {
+	return c.Upstream == other.Upstream && c.Incarnation == other.Incarnation
+}
+
+// distinct returns the crashes in the order of their times. Of several reports of a crash it
+// has the last one.
+func (r Record) distinct() []Crash {
+	repeated := func(i int) bool { return slices.ContainsFunc(r.Crashes[i+1:], r.Crashes[i].same) }
+	for i := range r.Crashes {
+		if !repeated(i) {
+			continue
+		}
+		list := slices.Clone(r.Crashes[:i])
+		for k := i; k < len(r.Crashes); k++ {
+			if !repeated(k) {
+				list = append(list, r.Crashes[k])
+			}
+		}
+		return list
+	}
+	return r.Crashes
+}
+
+// crashCount returns the number of crashes, of which there may be several reports each.
+func (r Record) crashCount() int { return len(r.distinct()) }
+
+// common returns the number of crashes that two records have in common.
+func (r Record) common(other Record) int {
+	count := 0
+	for _, c := range r.distinct() {
+		if slices.ContainsFunc(other.Crashes, c.same) {
+			count++
+		}
+	}
+	return count
+}
+
+// covers reports whether all crashes of other are also crashes of r.
+func (r Record) covers(other Record) bool { return r.common(other) == other.crashCount() }
+
 // maxCrashes and maxPartCrashes bound the crashes stored in a record of a request and
-// of a part. The latest ones are retained.
+// of a part, and maxPassed the answers. The latest ones are retained.
 const (
 	maxCrashes     = 8
 	maxPartCrashes = 32
+	maxPassed      = 8
 )
 
 // Merge returns the union of what a and b report about the same fingerprint. It
@@ -73,14 +134,41 @@
 	if b.IsolatedUntil.After(a.IsolatedUntil) || b.IsolatedUntil.Equal(a.IsolatedUntil) && b.IsolatedOn > a.IsolatedOn {
 		out.IsolatedOn, out.IsolatedUntil = b.IsolatedOn, b.IsolatedUntil
 	}
-	out.Crashes = append(out.Crashes, a.Crashes...)
-	for _, c := range b.Crashes {
+	for _, p := range slices.Concat(a.Passed, b.Passed) {
+		out.Passed = addPassed(out.Passed, p)
+	}
+	for _, p := range slices.Concat(a.Ahead, b.Ahead) {
+		out.Ahead = addPassed(out.Ahead, p)
+	}
+	for _, c := range slices.Concat(a.Crashes, b.Crashes) {
 		out.Crashes = addCrash(out.Crashes, c)
 	}
 	limit := maxCrashes
 	if out.Part {
 		limit = maxPartCrashes
 	}
-	out.Crashes = latestCrashes(out.Crashes, out.Cleared, limit)
+	out.Crashes = latestCrashes(out, limit)
 	return out
 }
+
+// addPassed adds p and leaves out what it or another answer makes superfluous.
+func addPassed(list []Passed, p Passed) []Passed {
+	if slices.ContainsFunc(list, func(o Passed) bool { return !o.At.Before(p.At) && o.Events >= p.Events }) {
+		return list
+	}
+	list = slices.DeleteFunc(list, func(o Passed) bool { return !p.At.Before(o.At) && p.Events >= o.Events })
+	list = append(list, p)
+	slices.SortFunc(list, func(x, y Passed) int { return x.At.Compare(y.At) })
+	return list[max(0, len(list)-maxPassed):]
+}
+
+// clearedAt returns the latest time at which the record was cleared, in full or in part.
+func (r Record) clearedAt() time.Time {
+	at := r.Cleared
+	for _, p := range r.Passed {
+		if p.At.After(at) {
+			at = p.At
+		}
+	}
+	return at
+}
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -45,6 +45,9 @@
 	// caused its crash. Entries may be outdated, so readers check them with
 	// isCulprit.
 	culprits map[incarnation][]Fingerprint
+	// mostCrashes maps the crashes of parts to the largest number of crashes of a part that
+	// was in flight at them. It is nil if records of parts have changed since.
+	mostCrashes map[incarnation]int
 }
 
 // incarnation identifies one run of an upstream. It ends in at most one crash.
@@ -141,18 +144,6 @@
 	return reg.merge(Record{Fingerprint: fp, Cleared: now}), true
 }
 
-// RecordAnswered clears those of the fingerprints that are under a restriction. It
-// returns the records to send to the other daemons.
-func (reg *Registry) RecordAnswered(fingerprints []Fingerprint, now time.Time) []Record {
-	var out []Record
-	for _, fp := range fingerprints {
-		if v, _ := reg.Check(fp, now); v != Clean {
-			out = append(out, reg.merge(Record{Fingerprint: fp, Cleared: now}))
-		}
-	}
-	return out
-}
-
 // Release clears a fingerprint on an operator's request. It returns the record
 // to send to the other daemons.
 func (reg *Registry) Release(fp Fingerprint, now time.Time) Record {
@@ -173,8 +164,8 @@
 
 // MergeReports merges the records that a router reports to a control daemon, and returns
 // the merged records that the other routers need: those that changed, and not those of
-// requests whose answers had begun at their only crash. There is one of these for each
-// stream at each upstream that crashes, and no router refuses them.
+// requests whose answers had begun at their only crash, or of parts with one crash. There are
+// such records for each stream at each upstream that crashes, and no router refuses them.
 func (reg *Registry) MergeReports(records []Record) []Record {
 	var out []Record
 	for _, r := range records {
@@ -189,7 +180,7 @@
 
 // needed reports whether routers need a record that another one reported.
 func needed(r Record) bool {
-	return r.Part || len(r.Crashes) >= crashLimit || slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !c.Begun })
+	return r.crashCount() >= crashLimit || !r.Part && slices.ContainsFunc(r.Crashes, func(c Crash) bool { return !c.Begun })
 }
 
 // Records returns the records sorted by fingerprint, at most limit of them: those
@@ -216,7 +207,7 @@
 
 // latest returns the time of the last crash or, if it is later, of the clearing.
 func (r Record) latest() time.Time {
-	at := r.Cleared
+	at := r.clearedAt()
 	for _, c := range r.Crashes {
 		if c.At.After(at) {
 			at = c.At
@@ -230,8 +221,9 @@
 	var expired []Fingerprint
 	for fp, r := range reg.records {
 		v, _ := reg.verdict(r, now)
-		if v == Clean && now.Sub(r.Cleared) > reg.settings.RefuseDuration && !hasRecentCrash(r, reg.settings, now) {
+		if v == Clean && now.Sub(r.clearedAt()) > reg.settings.RefuseDuration && !hasRecentCrash(r, reg.settings, now) {
 			delete(reg.records, fp)
+			reg.mostCrashes = nil
 			expired = append(expired, fp)
 		}
 	}
@@ -260,6 +252,9 @@
 	merged := Merge(reg.records[r.Fingerprint], r)
 	merged.Fingerprint = r.Fingerprint
 	reg.records[r.Fingerprint] = merged
+	if merged.Part {
+		reg.mostCrashes = nil
+	}
 	if isCulprit(merged) {
 		for _, c := range merged.Crashes {
 			inc := incarnation{c.Upstream, c.Incarnation}
@@ -280,7 +275,7 @@
 		return false
 	}
 	alone := slices.ContainsFunc(r.Crashes, func(c Crash) bool { return c.Concurrent == 0 && !c.Begun })
-	return alone && len(r.Crashes) >= crashLimit
+	return alone && r.crashCount() >= crashLimit
 }
 
 // hasOtherCulprit reports whether a fingerprint other than fp certainly caused
@@ -306,7 +301,7 @@
 	}
 	s := reg.settings
 	last, count, begun := time.Time{}, 0, 0
-	for _, c := range r.Crashes {
+	for _, c := range r.distinct() {
 		if now.Sub(c.At) > s.RefuseDuration || !isCulprit(r) && reg.hasOtherCulprit(r.Fingerprint, c) {
 			continue
 		}
@@ -352,10 +347,10 @@
 func (reg *Registry) unexplained(r Record) (count int, rival bool) {
 	explained := map[incarnation]bool{}
 	for fp, other := range reg.records {
-		if fp == r.Fingerprint || other.Part || len(other.Crashes) < len(r.Crashes) {
+		if fp == r.Fingerprint || other.Part || other.crashCount() < r.crashCount() {
 			continue
 		}
-		if len(other.Crashes) == len(r.Crashes) {
+		if other.crashCount() == r.crashCount() {
 			rival = rival || other.covers(r)
 			continue
 		}
@@ -363,7 +358,7 @@
 			explained[incarnation{c.Upstream, c.Incarnation}] = true
 		}
 	}
-	for _, c := range r.Crashes {
+	for _, c := range r.distinct() {
 		if !explained[incarnation{c.Upstream, c.Incarnation}] {
 			count++
 		}
@@ -392,25 +387,23 @@
 	return unique
 }
 
-// addCrash adds c unless the crash is already in list. Of two reports of one
-// crash the later one is retained: with the earlier one, the result of merging
-// the reports and a release would depend on the order.
+// addCrash adds c unless a report of the same crash says as much. Daemons have seen different
+// answers break off at a crash, and know of it at different times. A report that is earlier and
+// after fewer events than another one is left out: whatever clears the other one would clear it.
+// The others are retained, so the order of merges and clearings does not matter.
 func addCrash(list []Crash, c Crash) []Crash {
-	for i, known := range list {
-		if known.Upstream != c.Upstream || known.Incarnation != c.Incarnation {
-			continue
-		}
-		if crashLess(known, c) {
-			list[i] = c
-		}
+	if slices.ContainsFunc(list, func(o Crash) bool { return c.same(o) && !crashLess(o, c) && o.Events >= c.Events }) {
 		return list
 	}
+	list = slices.DeleteFunc(list, func(o Crash) bool { return c.same(o) && !crashLess(c, o) && c.Events >= o.Events })
 	return append(list, c)
 }
 
-// latestCrashes returns the crashes after cleared, sorted, at most limit of them.
-func latestCrashes(list []Crash, cleared time.Time, limit int) []Crash {
-	list = slices.DeleteFunc(list, func(c Crash) bool { return !c.At.After(cleared) })
+// latestCrashes returns the crashes of r that are not cleared, sorted, at most limit of them.
+func latestCrashes(r Record, limit int) []Crash {
+	list := slices.DeleteFunc(r.Crashes, func(c Crash) bool {
+		return !c.At.After(r.Cleared) || slices.ContainsFunc(r.Passed, func(p Passed) bool { return p.covers(c) })
+	})
 	sort.Slice(list, func(i, j int) bool { return crashLess(list[i], list[j]) })
 	if len(list) > limit {
 		list = list[len(list)-limit:]
@@ -433,7 +426,10 @@
 	if a.Begun != b.Begun {
 		return a.Begun
 	}
-	return a.Concurrent < b.Concurrent
+	if a.Concurrent != b.Concurrent {
+		return a.Concurrent < b.Concurrent
+	}
+	return a.Events < b.Events
 }
 
 func equalRecords(a, b Record) bool {
@@ -441,5 +437,9 @@
 	if a.IsolatedOn != b.IsolatedOn || !a.IsolatedUntil.Equal(b.IsolatedUntil) {
 		return false
 	}
+	samePassed := func(x, y Passed) bool { return x.At.Equal(y.At) && x.Events == y.Events }
+	if !slices.EqualFunc(a.Passed, b.Passed, samePassed) || !slices.EqualFunc(a.Ahead, b.Ahead, samePassed) {
+		return false
+	}
 	return a.Cleared.Equal(b.Cleared) && slices.EqualFunc(a.Crashes, b.Crashes, same)
 }
