Let no resumed answer clear what crashed an upstream

Callers and operators saw: a stream crashes its upstream at event 12, the next upstream resumes and finishes it, and the same request crashes the next one when it comes again. It was never refused.

Cause: a whole answer cleared the request and its parts, whichever upstreams had made the parts of it. The one that finished it had not made the events at which the first one crashed.

Change: only an answer that one upstream made from its first event is evidence, also where the caller resumed it itself, and in internal/edge.

--- a/internal/edge/hop.go
+++ b/internal/edge/hop.go
@@ -109,6 +109,7 @@
 	progressAt    time.Time            // see crashTracker.recordProgress
 	parts         []poison.Fingerprint // of the prompt, that other requests may share
 	streams       bool                 // true if the response is a stream of events
+	resumed       bool                 // true if the response goes on where another one broke off
 }
 
 // outgoingRequest describes a request to an upstream.
@@ -135,7 +136,7 @@
 		address: a.target.peer.Notice().Address,
 		state:   a.target.peer.LocalState(), limit: a.target.peer.Limit(), exclusive: a.target.exclusive,
 		promptTokens: out.promptTokens, sentAt: c.edge.conf.Clock.Now(), written: make(chan httptrace.WroteRequestInfo, 1),
-		parts: c.parts, streams: c.op.streaming(),
+		parts: c.parts, streams: c.op.streaming(), resumed: out.header.Get(poplar.HeaderResume) != "",
 	}
 	ctx, span := c.startSpan(poplar.StepStream)
 	span.SetAttributes(attribute.String("poplar.upstream", string(h.upstream)), attribute.Int("poplar.attempt", int(a.grant.Attempt)))
--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -106,7 +106,7 @@
 // answer returns how far the upstream has come with its response, as evidence for the parts of
 // the prompt. A suspect request is cleared only if it ran alone, see hopEnded.
 func (h *hop) answer(events int, whole bool, now time.Time) poison.Answer {
-	return poison.Answer{Parts: h.parts, Events: events, Whole: whole, At: now}
+	return poison.Answer{Parts: h.parts, Events: events, Whole: whole, Resumed: h.resumed, At: now}
 }
 
 // earliestRun returns the time from which a suspect may run.
@@ -172,7 +172,7 @@
 		}
 		records = append(records, t.registry.RecordAnswer(h.answer(events, true, now))...)
 	}
-	if complete && h.exclusive {
+	if complete && h.exclusive && !h.resumed {
 		if r, cleared := t.registry.RecordFinish(h.fingerprint, true, now); cleared {
 			records = append(records, r)
 		}
--- a/internal/proxy/suspects.go
+++ b/internal/proxy/suspects.go
@@ -326,7 +326,7 @@
 	if !x.route.Kind.Streams() {
 		events = poison.AllEvents
 	}
-	answer := poison.Answer{Parts: x.partFingerprints(), Events: events, Whole: whole, At: now}
+	answer := poison.Answer{Parts: x.partFingerprints(), Events: events, Whole: whole, Resumed: a.resumes || x.env.After != "", At: now}
 	if whole {
 		answer.Fingerprint = x.fingerprint()
 	}
--- a/internal/proxy/suspects_test.go
+++ b/internal/proxy/suspects_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -235,6 +236,23 @@
 	assert.Equal(t, call("sound3", "first other last3"), http.StatusOK)
 }
 
+// TestResumedAnswerClearsNothing sends a request that crashes its upstream after three events, and
+// that the next upstream resumes and finishes. It guards against a request that crashes one
+// upstream each time it is sent because the rest of its answer clears it.
+func TestResumedAnswerClearsNothing(t *testing.T) {
+	h := newHarness(t, script{"a": {"resumed stream 6"}, "b": {"resumed stream 6"}})
+	for n := range 3 {
+		got := h.call(t.Context(), http.MethodPost, "resumable", "k", "Id", "poisonous")
+		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, strings.Count(got.body, "\n\n"), 6)
+		crashed, _, _ := strings.Cut(h.arrivals()[2*n], " ")
+		h.restart(poplar.Upstream(crashed))
+		time.Sleep(2 * time.Millisecond) // records are ordered by time
+	}
+	assert.Equal(t, h.call(t.Context(), http.MethodPost, "resumable", "k", "Id", "poisonous").status, http.StatusServiceUnavailable)
+	assert.Equal(t, len(h.arrivals()), 6)
+}
+
 // TestFailedAnswerDoesNotClear answers a suspect with a failure of the upstream.
 func TestFailedAnswerDoesNotClear(t *testing.T) {
 	h := newHarness(t, script{"a": {"reset", "fail", "reset", "ok"}})
--- a/pkg/poison/answer.go
+++ b/pkg/poison/answer.go
@@ -7,7 +7,7 @@
 )
 
 // What clears a record is as grave as what condemns it: an answer is evidence only as far as
-// it has come.
+// it has come, and only if its upstream made it from the start.
 
 // AllEvents is the number of events of an answer that is no stream.
 const AllEvents = math.MaxInt
@@ -23,7 +23,10 @@
 	Parts       []Fingerprint // of the prompt
 	Events      int           // that the upstream has sent; AllEvents if it is no stream
 	Whole       bool
-	At          time.Time
+	// Resumed is true if the answer goes on after events of another one. What crashes
+	// upstreams may be in the part of the answer that this upstream did not make.
+	Resumed bool
+	At      time.Time
 }
 
 // passed returns what the answer shows of its request and of the parts of its prompt: that they
@@ -33,7 +36,7 @@
 	if !a.Whole {
 		events -= progressMargin + 1
 	}
-	return Passed{At: a.At, Events: events}, events >= 0
+	return Passed{At: a.At, Events: events}, !a.Resumed && events >= 0
 }
 
 // RecordAnswer clears the request and the parts of its prompt of the crashes that a whole answer
--- a/pkg/poison/midstream_test.go
+++ b/pkg/poison/midstream_test.go
@@ -182,6 +182,10 @@
 	for i := 0; i < len(f.running); i++ {
 		r := f.running[i]
 		switch {
+		case r.print == poisonousPrint && f.now-r.since >= f.crashAfter && f.phase == "resumed" && r.attempts > 1:
+			f.running = slices.Delete(f.running, i, i+1)
+			i--
+			f.report(f.routers[r.router].RecordAnswer(f.whole(r)))
 		case r.print == poisonousPrint && f.now-r.since >= f.crashAfter:
 			f.crash(r.upstream)
 			i = -1
@@ -197,7 +201,7 @@
 
 // whole returns the answer of a run that has come to its end.
 func (f *midstreamFleet) whole(r midstreamRun) Answer {
-	return Answer{Fingerprint: r.print, Events: (f.now - r.since) / midstreamEvent, Whole: true, At: at(f.now)}
+	return Answer{Fingerprint: r.print, Events: (f.now - r.since) / midstreamEvent, Whole: true, Resumed: r.attempts > 1, At: at(f.now)}
 }
 
 // begin sends a new sound request.
