Name wallets in loans by a random number, not by their incarnation

The lender's sum of loans to a borrower stays, and the borrower, which knows lenders by incarnation, counts all of it again. In the other direction a lender that knows the old incarnation lends the new one nothing.

Change: wallet.Life, a random number from the start to the end of a router, takes the place of the incarnation in loans and hand-offs. The form on the wire is the same.

Ruled out: clearing the counters when the incarnation changes, since a late answer to a loan of the old one would be counted again.

--- a/internal/proxy/loans.go
+++ b/internal/proxy/loans.go
@@ -161,7 +161,7 @@
 	from := p.lenders[address]
 	p.lenderMu.Unlock()
 	now := time.Now()
-	req, lacks := p.wallet.NextLoan(w, from.holder, p.wallet.Awaited(w), now)
+	req, lacks := p.wallet.NextLoan(w, from.life, p.wallet.Awaited(w), now)
 	if !lacks || now.Before(from.notBefore) {
 		return 0
 	}
@@ -170,12 +170,11 @@
 	if err != nil {
 		p.metrics.loansFailed.Add(1)
 		p.log.Debug("loan request failed; router not asked again until back-off ends", "at", address, "error", err)
-		p.setLender(address, lender{holder: from.holder, notBefore: time.Now().Add(lenderBackoff)})
+		p.setLender(address, lender{life: from.life, notBefore: time.Now().Add(lenderBackoff)})
 		return 0
 	}
-	// An incarnation of the router that has not lent before starts the sum of its loans
-	// from zero.
-	p.setLender(address, lender{holder: resp.Lender, workspace: w, tokens: resp.ReadySoon})
+	// A router that has restarted begins the sum of its loans at zero.
+	p.setLender(address, lender{life: resp.Lender, workspace: w, tokens: resp.ReadySoon})
 	p.wallet.ApplyLoan(w, resp)
 	p.log.Debug("loan", "at", address, "workspace", string(w), "had", int64(req.Received), "sum", int64(resp.Total))
 	return resp.ReadySoon
@@ -183,8 +182,8 @@
 
 // lender is the state of a router that is asked for loans.
 type lender struct {
-	holder    wallet.Holder // incarnation of the router that answered last
-	notBefore time.Time     // invariant: no loan request is sent before this time
+	life      wallet.Life // of the router, that answered last
+	notBefore time.Time   // invariant: no loan request is sent before this time
 	workspace poplar.Workspace
 	tokens    poplar.Tokens // of the workspace, that it last expected to have or reported
 }
--- a/internal/proxy/loans_test.go
+++ b/internal/proxy/loans_test.go
@@ -43,7 +43,7 @@
 		defer l.count(-1)
 		select {
 		case <-l.answers:
-			return wallet.LoanResponse{Lender: wallet.Holder{Name: name, Incarnation: 1}, Total: r.Received + tokens}, nil
+			return wallet.LoanResponse{Lender: wallet.Life{Name: name, Number: 1}, Total: r.Received + tokens}, nil
 		case <-ctx.Done():
 			return wallet.LoanResponse{}, ctx.Err()
 		}
--- a/internal/proxy/shortage_test.go
+++ b/internal/proxy/shortage_test.go
@@ -50,7 +50,7 @@
 	})
 	m[core.OpLend] = peer.Handle(func(_ context.Context, _ poplar.Daemon, l wallet.LoanRequest) (wallet.LoanResponse, error) {
 		f.loans.Add(1)
-		return wallet.LoanResponse{Lender: wallet.Holder{Name: poplar.Daemon(name), Incarnation: 1}, Total: l.Received + f.lent}, nil
+		return wallet.LoanResponse{Lender: wallet.Life{Name: poplar.Daemon(name), Number: 1}, Total: l.Received + f.lent}, nil
 	})
 	return m
 }
--- a/pkg/wallet/load_test.go
+++ b/pkg/wallet/load_test.go
@@ -336,7 +336,7 @@
 		if asked++; asked > maxLenders {
 			return false
 		}
-		if loan, lacks := w.NextLoan(testWorkspace, s.wallets[i].Holder(), r.cost(), s.now()); lacks {
+		if loan, lacks := w.NextLoan(testWorkspace, s.wallets[i].life, r.cost(), s.now()); lacks {
 			w.ApplyLoan(testWorkspace, s.wallets[i].Lend(loan, s.now()))
 		}
 		if w.Reserve(testWorkspace, r.cost(), s.now()) {
--- a/pkg/wallet/loan.go
+++ b/pkg/wallet/loan.go
@@ -6,14 +6,21 @@
 	"poplarbend.example/poplar"
 )
 
-// Loans between routers are cumulative counters, one for each pair of lender and
-// borrower incarnations. The lender raises the counter before the borrower learns
+// Loans between routers are cumulative counters, one for each pair of lives of a lender
+// and a borrower. The lender raises the counter before the borrower learns
 // of it, so a lost response withholds tokens until the borrower asks again, and
 // never creates any.
 
+// Life identifies a wallet in loans and hand-offs. Unlike the incarnation of its Holder, which
+// the log may have it change, no part of a life changes or is used again.
+type Life struct {
+	Name   poplar.Daemon `json:"n"`
+	Number uint64        `json:"i"` // random
+}
+
 // LoanRequest is a request to borrow tokens from another router.
 type LoanRequest struct {
-	Borrower  Holder           `json:"who"`
+	Borrower  Life             `json:"who"`
 	Workspace poplar.Workspace `json:"of"`
 	// Received is the cumulative number of tokens that the borrower has received from
 	// the lender.
@@ -24,7 +31,7 @@
 
 // LoanResponse is the response to a loan request.
 type LoanResponse struct {
-	Lender Holder `json:"by"`
+	Lender Life `json:"by"`
 	// Total is the cumulative number of tokens lent to the borrower.
 	Total poplar.Tokens `json:"sum"`
 	// ReadySoon is the number of tokens that the lender expects to have available for
@@ -52,13 +59,13 @@
 		b.lent += more
 		b.lentTo[l.Borrower] = total
 	}
-	return LoanResponse{Lender: w.holder, Total: total, ReadySoon: b.readySoon(now)}
+	return LoanResponse{Lender: w.life, Total: total, ReadySoon: b.readySoon(now)}
 }
 
 // HandOff is the hand-off of tokens from a stopping router to another router.
 type HandOff struct {
-	// Sender is the incarnation that stops. It hands off tokens only once.
-	Sender Holder                             `json:"by"`
+	// Sender is the wallet that is closed. It hands off tokens only once.
+	Sender Life                               `json:"by"`
 	Tokens map[poplar.Workspace]poplar.Tokens `json:"tokens"`
 }
 
@@ -70,7 +77,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.closed = true
-	h := HandOff{Sender: w.holder, Tokens: map[poplar.Workspace]poplar.Tokens{}}
+	h := HandOff{Sender: w.life, Tokens: map[poplar.Workspace]poplar.Tokens{}}
 	for name, b := range w.balances {
 		if ready := b.ready(now); ready > 0 {
 			b.lent += ready
@@ -95,12 +102,12 @@
 
 // NextLoan returns the loan request to send to a lender, and false when the wallet
 // has the given number of tokens ready.
-func (w *Wallet) NextLoan(name poplar.Workspace, lender Holder, tokens poplar.Tokens, now time.Time) (LoanRequest, bool) {
+func (w *Wallet) NextLoan(name poplar.Workspace, lender Life, tokens poplar.Tokens, now time.Time) (LoanRequest, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	b := w.balance(name)
 	missing := tokens - b.ready(now)
-	return LoanRequest{Borrower: w.holder, Workspace: name, Received: b.borrowedFrom[lender], Needed: missing}, missing > 0
+	return LoanRequest{Borrower: w.life, Workspace: name, Received: b.borrowedFrom[lender], Needed: missing}, missing > 0
 }
 
 // ApplyLoan applies the response to a loan request.
--- a/pkg/wallet/wallet.go
+++ b/pkg/wallet/wallet.go
@@ -1,6 +1,7 @@
 package wallet
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -92,6 +93,7 @@
 type Wallet struct {
 	policy  Policy
 	started time.Time
+	life    Life
 
 	mu                  sync.Mutex
 	holder              Holder                        // invariant: guarded by mu
@@ -103,7 +105,7 @@
 	drawAnswered        bool                          // invariant: guarded by mu; true when the last draw was answered
 	drawSent            time.Time                     // invariant: guarded by mu; time of the last draw
 	drawDelay           time.Duration                 // invariant: guarded by mu; time until recent draws were answered
-	handOffs            map[Holder]bool               // invariant: guarded by mu; incarnations whose hand-offs were received
+	handOffs            map[Life]bool                 // invariant: guarded by mu; lives whose hand-offs were received
 	closed              bool                          // invariant: guarded by mu; true after Close or HandOff
 	routerCount         int                           // invariant: guarded by mu; routers in the last draw response, or 0
 }
@@ -114,8 +116,8 @@
 type balance struct {
 	issued, returned, spent, open poplar.Tokens
 	lent, borrowed                poplar.Tokens
-	lentTo                        map[Holder]poplar.Tokens // invariant: its sum plus the tokens handed off is lent
-	borrowedFrom                  map[Holder]poplar.Tokens // invariant: its sum plus the tokens of received hand-offs is borrowed
+	lentTo                        map[Life]poplar.Tokens // invariant: its sum plus the tokens handed off is lent
+	borrowedFrom                  map[Life]poplar.Tokens // invariant: its sum plus the tokens of received hand-offs is borrowed
 	// confirmedReserve is from the last answered draw, and pendingReserve covers the
 	// draws since then, which may or may not have reached the log.
 	confirmedReserve, pendingReserve reportedReserve // invariant: cover all tokens that the log may assume to be unused
@@ -150,7 +152,10 @@
 
 // NewWallet returns the empty wallet of a router that started at the given time.
 func NewWallet(holder Holder, policy Policy, started time.Time) *Wallet {
-	return &Wallet{holder: holder, policy: policy, started: started, lastResponse: started, balances: map[poplar.Workspace]*balance{}, handOffs: map[Holder]bool{}}
+	return &Wallet{
+		holder: holder, policy: policy, started: started, life: Life{Name: holder.Name, Number: rand.Uint64()},
+		lastResponse: started, balances: map[poplar.Workspace]*balance{}, handOffs: map[Life]bool{},
+	}
 }
 
 // Holder returns the identity of the router. ApplyDraw may raise its incarnation.
@@ -163,7 +168,7 @@
 func (w *Wallet) balance(name poplar.Workspace) *balance {
 	b := w.balances[name]
 	if b == nil {
-		b = &balance{lentTo: map[Holder]poplar.Tokens{}, borrowedFrom: map[Holder]poplar.Tokens{}}
+		b = &balance{lentTo: map[Life]poplar.Tokens{}, borrowedFrom: map[Life]poplar.Tokens{}}
 		w.balances[name] = b
 	}
 	return b
--- a/pkg/wallet/wallet_test.go
+++ b/pkg/wallet/wallet_test.go
@@ -38,6 +38,9 @@
 	clocks          map[int]clockError // by index of the router
 }
 
+// startPeriod is the number of incarnations between two starts. They are the times of the starts.
+const startPeriod = 1000
+
 // clockError is the error of the wall clock of a router, now and at its start.
 type clockError struct {
 	offset, atStart time.Duration
@@ -57,8 +60,14 @@
 }
 
 func (c *cluster) restart(i int) {
-	c.lastIncarnation++
-	holder := Holder{Name: poplar.Daemon(rune('a' + i)), Incarnation: c.lastIncarnation}
+	c.lastIncarnation += startPeriod
+	c.restartAs(i, c.lastIncarnation)
+}
+
+// restartAs restarts router i with an incarnation, which may be below that of its last start if
+// its wall clock was set back.
+func (c *cluster) restartAs(i int, incarnation uint64) {
+	holder := Holder{Name: poplar.Daemon(rune('a' + i)), Incarnation: incarnation}
 	old := c.wallets[i]
 	c.wallets[i] = NewWallet(holder, DefaultPolicy(), c.now)
 	c.clocks[i] = clockError{offset: c.clocks[i].offset, atStart: c.clocks[i].offset}
@@ -100,6 +109,13 @@
 	return out
 }
 
+// lend has router from lend tokens to router to, so that it has the given number of tokens ready.
+func (c *cluster) lend(from, to int, tokens poplar.Tokens) {
+	if loan, lacks := c.wallets[to].NextLoan(testWorkspace, c.wallets[from].life, tokens, c.now); lacks {
+		c.wallets[to].ApplyLoan(testWorkspace, c.wallets[from].Lend(loan, c.now))
+	}
+}
+
 // serve reserves tokens for a request at router i and counts all of them as spent,
 // since the upstream uses them even if the router is killed.
 func (c *cluster) serve(i int, tokens poplar.Tokens) bool {
@@ -122,7 +138,7 @@
 		for i := range c.wallets {
 			c.restart(i)
 		}
-		router := rapid.IntRange(0, len(c.wallets)-1)
+		router, starts := rapid.IntRange(0, len(c.wallets)-1), uint64(0)
 		t.Repeat(map[string]func(*rapid.T){
 			"pass": func(t *rapid.T) {
 				c.now = c.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
@@ -150,6 +166,11 @@
 				c.spent -= o.tokens - used
 			},
 			"kill": func(t *rapid.T) { c.restart(router.Draw(t, "router")) },
+			"killAndSetBack": func(t *rapid.T) {
+				i := router.Draw(t, "router")
+				starts++ // no two starts are at the same time
+				c.restartAs(i, rapid.Uint64Range(0, c.lastIncarnation/startPeriod).Draw(t, "start")*startPeriod+starts)
+			},
 			"step": func(t *rapid.T) {
 				i := router.Draw(t, "router")
 				e := c.clocks[i]
@@ -161,7 +182,7 @@
 				if from == to {
 					t.Skip("itself")
 				}
-				loan, lacks := c.wallets[to].NextLoan(testWorkspace, c.wallets[from].Holder(), 800, c.now)
+				loan, lacks := c.wallets[to].NextLoan(testWorkspace, c.wallets[from].life, 800, c.now)
 				if !lacks {
 					return
 				}
@@ -425,8 +446,8 @@
 			c.wallets[i].Settle(testWorkspace, tokens, tokens)
 			return 0
 		}
-		if loan, lacks := c.wallets[i].NextLoan(testWorkspace, c.wallets[from].Holder(), tokens, c.now); lacks && from != i {
-			c.wallets[i].ApplyLoan(testWorkspace, c.wallets[from].Lend(loan, c.now))
+		if from != i {
+			c.lend(from, i, tokens)
 		}
 	}
 	if c.serve(i, tokens) {
