Tell parts that crash upstreams from sound ones by whole answers

Cause: answers that end before the events of a crash cleared nothing and were forgotten. With equal crashes on both parts nothing told them apart, so the sound one was tried in single requests, whose answers cleared nothing either. None of the loads had sound answers that are shorter than the crash.

Change: a record notes whole answers of any length. A part to which there were some is excused if one without any was in flight at nearly all of its crashes; a part without any is explained only by another such part. Crashes that a full record has dropped count as common.

Ruled out: letting a short whole answer clear its parts, since what crashes upstreams after more events would be cleared by its own short answers.

--- a/pkg/poison/answer.go
+++ b/pkg/poison/answer.go
@@ -40,7 +40,7 @@
 }
 
 // RecordAnswer clears the request and the parts of its prompt of the crashes that a whole answer
-// got past. Of one that is not yet whole it notes for the parts how far it has come: it may still
+// got past, and notes for the parts that there was one. Of one that is not yet whole it notes for the parts how far it has come: it may still
 // end in a crash, so that alone clears nothing. RecordAnswer returns the records to send to the
 // other daemons.
 func (reg *Registry) RecordAnswer(a Answer) []Record {
@@ -51,7 +51,7 @@
 	var out []Record
 	for _, fp := range a.Parts {
 		if a.Whole {
-			out = reg.clear(fp, p, out)
+			out = reg.noteWhole(fp, p, out)
 		} else {
 			out = reg.noteAhead(fp, p, out)
 		}
@@ -62,6 +62,16 @@
 	return out
 }
 
+// noteWhole clears a part of the crashes that a whole answer got past. If there are none, it notes
+// the first whole answer since the first crash. It appends the record to out if there is news.
+func (reg *Registry) noteWhole(fp Fingerprint, p Passed, out []Record) []Record {
+	r := reg.records[fp]
+	if cleared := reg.clear(fp, p, out); len(cleared) > len(out) || len(r.Crashes) == 0 || r.answered() {
+		return cleared
+	}
+	return append(out, reg.merge(Record{Fingerprint: fp, Part: true, Passed: []Passed{p}}))
+}
+
 // clear clears a record of the crashes that an answer got past, and appends it to out if there
 // are any.
 func (reg *Registry) clear(fp Fingerprint, p Passed, out []Record) []Record {
@@ -100,6 +110,11 @@
 	return p, shows
 }
 
+// answered reports whether a whole answer came since the first crash of a part.
+func (r Record) answered() bool {
+	return len(r.Passed) > 0 && len(r.Crashes) > 0 && r.Passed[len(r.Passed)-1].At.After(r.Crashes[0].At)
+}
+
 // isAhead reports whether an answer got past a crash without being whole.
 func (r Record) isAhead(c Crash) bool {
 	return slices.ContainsFunc(r.Ahead, func(p Passed) bool { return p.covers(c) })
--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -175,10 +175,25 @@
 }
 
 // hasRival reports whether a part that is none of the excluded ones may have caused the crashes
-// of r as well: it was in flight at so many of them that the rest would not condemn r.
+// of r as well. A part to which whole answers came does not explain the crashes of one without any.
 func (reg *Registry) hasRival(r Record, excluded []Fingerprint) bool {
+	return reg.mayExplain(r, func(other Record) bool {
+		return !slices.Contains(excluded, other.Fingerprint) && (r.answered() || !other.answered())
+	})
+}
+
+// isExcused reports whether whole answers came to r, but none to another part that may have caused
+// the crashes of r. Answers that end before the events at which upstreams crash clear no part, but
+// what crashes all of them is the likelier cause.
+func (reg *Registry) isExcused(r Record) bool {
+	return r.answered() && reg.mayExplain(r, func(other Record) bool { return !other.answered() })
+}
+
+// mayExplain reports whether one of the wanted parts may have caused the crashes of r: it was in
+// flight at so many of them that the rest would not condemn r.
+func (reg *Registry) mayExplain(r Record, wanted func(Record) bool) bool {
 	for fp, other := range reg.records {
-		if fp == r.Fingerprint || !other.Part || len(other.Crashes) < partCrashLimit || slices.Contains(excluded, fp) {
+		if fp == r.Fingerprint || !other.Part || len(other.Crashes) < partCrashLimit || !wanted(other) {
 			continue
 		}
 		common := r.common(other)
@@ -189,10 +204,15 @@
 	return false
 }
 
-// explained reports whether a part with more crashes than r was in flight at crash c of r.
+// partCounts are the largest numbers of crashes of a part that was in flight at a crash: of all
+// parts, and of those to which no whole answer came.
+type partCounts struct{ all, unanswered int }
+
+// explained reports whether a part with more crashes than r was in flight at crash c of r. Of a part
+// without whole answers, only another one without explains crashes.
 func (reg *Registry) explained(r Record, c Crash) bool {
 	if reg.mostCrashes == nil {
-		reg.mostCrashes = map[incarnation]int{}
+		reg.mostCrashes = map[incarnation]partCounts{}
 		for _, other := range reg.records {
 			if !other.Part {
 				continue
@@ -200,11 +220,20 @@
 			count := other.crashCount()
 			for _, c := range other.Crashes {
 				inc := incarnation{c.Upstream, c.Incarnation}
-				reg.mostCrashes[inc] = max(reg.mostCrashes[inc], count)
+				most := reg.mostCrashes[inc]
+				most.all = max(most.all, count)
+				if !other.answered() {
+					most.unanswered = max(most.unanswered, count)
+				}
+				reg.mostCrashes[inc] = most
 			}
 		}
 	}
-	return reg.mostCrashes[incarnation{c.Upstream, c.Incarnation}] > r.crashCount()
+	most := reg.mostCrashes[incarnation{c.Upstream, c.Incarnation}]
+	if r.answered() {
+		return most.all > r.crashCount()
+	}
+	return most.unanswered > r.crashCount()
 }
 
 // partVerdict returns the verdict on the record of a part at now and the end of the
@@ -217,7 +246,7 @@
 		return Clean, time.Time{}
 	}
 	verdict, duration := Isolated, reg.settings.SuspectDuration
-	if r.condemnedBy(crashes) {
+	if r.condemnedBy(crashes) && !reg.isExcused(r) {
 		verdict, duration = Refused, reg.settings.RefuseDuration
 	}
 	if until := crashes[len(crashes)-1].At.Add(duration); now.Before(until) {
--- a/pkg/poison/part_load_test.go
+++ b/pkg/poison/part_load_test.go
@@ -256,9 +256,16 @@
 	return l
 }
 
+// afterSoundStreams returns the load with the crash after more events than a sound stream has.
+func (l partLoad) afterSoundStreams() partLoad {
+	l.after += int(1000*l.length)/l.gap + 1
+	return l
+}
+
 // TestPartThatCrashesInMidStreamIsRefused plays the loads of testdata/parts.txt, and some drawn by
 // seed. It guards against a part that is cleared by the very answers at which it crashes
-// upstreams, and against refusals of sound requests that share their other parts with it.
+// upstreams, and against refusals of sound requests that share their other parts with it, also if
+// their answers are shorter.
 func TestPartThatCrashesInMidStreamIsRefused(t *testing.T) {
 	file, err := os.Open("testdata/parts.txt")
 	assert.NilError(t, err)
@@ -277,7 +284,8 @@
 	}
 	assert.NilError(t, lines.Err())
 	for seed := range *partDraws {
-		loads = append(loads, drawLoad(seed))
+		l := drawLoad(seed)
+		loads = append(loads, l, l.afterSoundStreams())
 	}
 	for _, l := range loads {
 		t.Run(strings.ReplaceAll(l.String(), " ", "_"), func(t *testing.T) {
--- a/pkg/poison/record.go
+++ b/pkg/poison/record.go
@@ -51,8 +51,8 @@
 	// Cleared is the latest time at which an operator released the fingerprint or it ran
 	// alone to its end. Crashes up to this time do not count.
 	Cleared time.Time `json:"cleared"`
-	// Passed are whole answers that got past crashes, which do not count any more, the oldest
-	// first. None is both older than another one and has no more events. Ahead are the same of
+	// Passed are whole answers, the oldest first. Crashes that they got past do not count any
+	// more. None is both older than another one and has no more events. Ahead are the same of
 	// answers that were not yet whole; crashes that these got past are weaker evidence.
 	Passed []Passed `json:"passed,omitempty"`
 	Ahead  []Passed `json:"ahead,omitempty"`
@@ -101,11 +101,13 @@
 // crashCount returns the number of crashes, of which there may be several reports each.
 func (r Record) crashCount() int { return len(r.distinct()) }
 
-// common returns the number of crashes that two records have in common.
+// common returns the number of crashes of r that are also crashes of other, or that other may have
+// dropped because its list is full.
 func (r Record) common(other Record) int {
 	count := 0
 	for _, c := range r.distinct() {
-		if slices.ContainsFunc(other.Crashes, c.same) {
+		dropped := len(other.Crashes) >= maxPartCrashes && c.At.Before(other.Crashes[0].At)
+		if dropped || slices.ContainsFunc(other.Crashes, c.same) {
 			count++
 		}
 	}
--- a/pkg/poison/registry.go
+++ b/pkg/poison/registry.go
@@ -45,9 +45,8 @@
 	// caused its crash. Entries may be outdated, so readers check them with
 	// isCulprit.
 	culprits map[incarnation][]Fingerprint
-	// mostCrashes maps the crashes of parts to the largest number of crashes of a part that
-	// was in flight at them. It is nil if records of parts have changed since.
-	mostCrashes map[incarnation]int
+	// mostCrashes is by crash of parts. It is nil if records of parts have changed since.
+	mostCrashes map[incarnation]partCounts
 }
 
 // incarnation identifies one run of an upstream. It ends in at most one crash.
