Wait for the held request in TestConnectionLimit

The test opened 13 further connections before the server had read the request that it holds, so that connection was one of those that had waited longest without a request, which must make room.

The product is unchanged.

--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -194,6 +194,7 @@
 	h := newHarness(t, Limits{}, most, 1<<20)
 	held := h.dial()
 	held.send(head("/held", 100) + "abc")
+	<-h.entered // only then is the request in progress
 	var silent []*client
 	for range 3 * most {
 		silent = append(silent, h.dial())
