--- a/pkg/poison/part.go
+++ b/pkg/poison/part.go
@@ -237,7 +237,7 @@
 }
 
 // partVerdict returns the verdict on the record of a part at now and the end of the
-// restriction, without regard to parts that may have caused the same crashes.
+// restriction. Crashes that another part explains, and parts that are excused, do not count.
 func (reg *Registry) partVerdict(r Record, now time.Time) (Verdict, time.Time) {
 	crashes := slices.DeleteFunc(slices.Clone(r.distinct()), func(c Crash) bool {
 		return now.Sub(c.At) > reg.settings.RefuseDuration || reg.explained(r, c)
